Whole path, thin: callers, daemons, upstreams, platform as processes

Cause: nothing stood yet. Change: workspace of seven packages; decision logic without I/O; daemon shell, operator's command, stand-ins of upstream and platform, demo.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+PACKAGES := core model platform upstream links daemon cli
+
+.PHONY: setup test lint format demo bench fuzz capacity clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement requirements.txt
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=--editable packages/%)
+	touch $(STAMP)
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: lint
+	$(PY) -m pytest -q
+
+demo: setup
+	$(PY) demo/run.py
+
+bench: setup
+	$(PY) -m bench.run
+
+fuzz: setup
+	GYPSUM_FUZZ=1 $(PY) -m pytest -q tests/test_stateful.py
+
+capacity: setup
+	$(PY) -m bench.capacity
+
+clean:
+	rm -rf $(VENV) .pytest_cache .hypothesis
--- /dev/null
+++ b/packages/cli/gypsum_cli/__init__.py
@@ -0,0 +1,1 @@
+"""gypsumhitch: the operator's command."""
--- /dev/null
+++ b/packages/cli/gypsum_cli/main.py
@@ -0,0 +1,53 @@
+"""The `gypsumhitch` command and its subcommands."""
+
+import asyncio
+import inspect
+import sys
+from dataclasses import dataclass
+
+import cappa
+
+from gypsum_cli.apply import Apply, apply
+from gypsum_cli.check import Check, check
+from gypsum_cli.diff import Diff, diff
+from gypsum_cli.drain import Drain, drain
+from gypsum_cli.exits import ExitCode
+from gypsum_cli.explain import Explain, explain
+from gypsum_cli.output import fail
+from gypsum_cli.service import DaemonError
+from gypsum_cli.status import Status, status
+from gypsum_model.errors import UserError
+from gypsum_platform.client import PlatformError
+
+FUNCTIONS = {
+    Check: check,
+    Diff: diff,
+    Apply: apply,
+    Status: status,
+    Explain: explain,
+    Drain: drain,
+}
+
+
+@cappa.command(name="gypsumhitch", help="Operate gypsumhitch by its manifests.")
+@dataclass
+class Gypsumhitch:
+    """The command."""
+
+    subcommand: cappa.Subcommands[Check | Diff | Apply | Status | Explain | Drain]
+
+
+def run(command):
+    """Run a parsed subcommand; returns the exit code."""
+    try:
+        result = FUNCTIONS[type(command)](command)
+        return asyncio.run(result) if inspect.isawaitable(result) else result
+    except UserError as exc:
+        return fail(exc)
+    except (PlatformError, DaemonError) as exc:
+        return fail(exc, ExitCode.UNAVAILABLE)
+
+
+def main():
+    """Entry point."""
+    sys.exit(run(cappa.parse(Gypsumhitch).subcommand))
--- /dev/null
+++ b/packages/cli/gypsum_cli/status.py
@@ -0,0 +1,60 @@
+"""`gypsumhitch status`: which version is in force where?"""
+
+import asyncio
+from dataclasses import dataclass
+
+import cappa
+
+from gypsum_cli.exits import ExitCode
+from gypsum_cli.manifests import KIND
+from gypsum_cli.options import AsJson, OperatorAddresses, PlatformUrl
+from gypsum_cli.output import show
+from gypsum_cli.service import DaemonError, call_daemon, open_platform
+
+
+async def status(command):
+    """Compare the accepted versions with those in force on daemons."""
+    async with open_platform(command.platform) as client:
+        listing = await client.list_objects(KIND)
+    accepted = {item.name: item.version for item in listing.objects}
+    daemons = await asyncio.gather(*(ask(address) for address in command.daemon))
+    behind = [item["address"] for item in daemons if lags(item, accepted)]
+    lines = [f"{name}: accepted version {accepted[name]}" for name in sorted(accepted)]
+    lines += [describe(item, accepted) for item in daemons]
+    data = {"accepted": accepted, "daemons": daemons, "behind": behind}
+    show(data, lines, as_json=command.json)
+    return ExitCode.DIFFERENT if behind else ExitCode.OK
+
+
+async def ask(address):
+    """One daemon's versions, or why they are not known."""
+    try:
+        answer = await call_daemon(address, "/manifests")
+        return {"address": address, "error": "", **answer}
+    except DaemonError as exc:
+        return {"address": address, "error": str(exc), "versions": {}, "ready": False}
+
+
+def lags(daemon, accepted):
+    """Tell whether a daemon lacks an accepted version."""
+    versions = daemon["versions"]
+    return any(versions.get(name, 0) < version for name, version in accepted.items())
+
+
+def describe(daemon, accepted):
+    """One line for a daemon."""
+    if daemon["error"]:
+        return f"{daemon['address']}: {daemon['error']}"
+    state = "behind" if lags(daemon, accepted) else "in force"
+    ready = "ready" if daemon["ready"] else "not ready"
+    return f"{daemon['daemon']} at {daemon['address']}: {state}, {ready}"
+
+
+@cappa.command(name="status", help="Show which versions are in force.")
+@dataclass
+class Status:
+    """Options of `status`."""
+
+    platform: PlatformUrl
+    daemon: OperatorAddresses
+    json: AsJson = False
--- /dev/null
+++ b/packages/core/gypsum_core/checks.py
@@ -0,0 +1,57 @@
+"""Checks of a request against the manifest, before anything runs."""
+
+import re
+
+from gypsum_core.records import Mode, Verb
+
+READ_WORDS = frozenset({"select", "with", "values", "table", "explain", "show"})
+WRITE_WORDS = frozenset({"insert", "update", "delete", "replace", "with"})
+FIRST_WORD = re.compile(r"\s*([a-zA-Z]+)")
+WORDS_OF_MODE = {
+    Mode.READ: READ_WORDS,
+    Mode.WRITE: WRITE_WORDS,
+    Mode.TRANSACTION: READ_WORDS | WRITE_WORDS,
+}
+
+
+def check_request(spec, request):
+    """Say what is wrong with a request; empty when nothing is."""
+    if request.member not in spec.weight_by_member:
+        return f"unknown member {request.member!r}"
+    if request.verb in (Verb.QUERY, Verb.BEGIN):
+        return check_kind(spec, request)
+    if request.verb is Verb.TX_QUERY:
+        return check_statement(Mode.TRANSACTION, request.statement)
+    return ""
+
+
+def check_statement(mode, statement):
+    """Check that a statement is one that its mode can guard.
+
+    What goes wrong without it: a caller's own COMMIT, or a statement that commits
+    implicitly as CREATE does, ends the transaction that holds the ledger row, and
+    the request may run twice.
+    """
+    match = FIRST_WORD.match(statement.sql)
+    word = match.group(1).lower() if match else ""
+    allowed = WORDS_OF_MODE[mode]
+    if word in allowed:
+        return ""
+    return f"mode {mode} takes statements that begin with {', '.join(sorted(allowed))}"
+
+
+def check_kind(spec, request):
+    """Check that the kind exists and fits what is asked."""
+    kind = spec.kind_by_name.get(request.kind)
+    if kind is None:
+        return f"unknown kind {request.kind!r}"
+    transactional = kind.mode is Mode.TRANSACTION
+    if request.verb is Verb.BEGIN and not transactional:
+        return f"kind {kind.name!r} has mode {kind.mode}, not transaction"
+    if request.verb is Verb.QUERY and transactional:
+        return f"kind {kind.name!r} has mode transaction: open a transaction first"
+    if not kind.repeatable and not request.keyed and kind.mode is not Mode.READ:
+        return f"kind {kind.name!r} must not repeat: an Idempotency-Key is required"
+    if request.verb is Verb.QUERY:
+        return check_statement(kind.mode, request.statement)
+    return ""
--- /dev/null
+++ b/packages/core/gypsum_core/homeboard.py
@@ -0,0 +1,90 @@
+"""What an operator sees of a home."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamBoard:
+    """One upstream as its home sees it; `lag_ms` is -1 when unproved."""
+
+    id: str
+    primary: bool
+    promised: int
+    received: int
+    applied: int
+    lag_ms: float
+    running: int
+    slots: int
+    silent: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HomeBoard:
+    """One database as its home sees it."""
+
+    database: str
+    version: int
+    rank: int | None
+    active: bool
+    primary: str
+    term: int
+    claimed: bool
+    phase: str
+    vetoed: bool
+    queued_replica: int
+    queued_primary: int
+    awaiting: int
+    unconfirmed: int
+    transactions: int
+    reads_replica: int
+    reads_primary: int
+    why_primary: dict[str, int]
+    refusals: dict[str, int]
+    promotions: int
+    upstreams: tuple[UpstreamBoard, ...]
+
+
+def describe_home(home):
+    """Describe a home and its upstreams."""
+    counts = home.reads.counts
+    return HomeBoard(
+        database=home.spec.name,
+        version=home.spec.version,
+        rank=home.rank,
+        active=home.active,
+        primary=home.view.primary or "",
+        term=home.view.term,
+        claimed=home.claimed,
+        phase=home.failover.phase.value,
+        vetoed=home.failover.vetoed,
+        queued_replica=len(home.replica_queue) + len(home.held),
+        queued_primary=len(home.primary_queue) + len(home.urgent),
+        awaiting=len(home.awaiting),
+        unconfirmed=len(home.writes.unconfirmed),
+        transactions=len(home.transactions),
+        reads_replica=counts.replica,
+        reads_primary=counts.primary,
+        why_primary=dict(counts.why),
+        refusals={str(reason): count for reason, count in home.refusals.items()},
+        promotions=home.failover.promotions,
+        upstreams=tuple(describe_upstream(home, name) for name in home.view.upstreams),
+    )
+
+
+def describe_upstream(home, name):
+    """Describe one upstream."""
+    status = home.view.status(name)
+    lane = home.lanes[name]
+    as_of = home.view.as_of(name)
+    proved = as_of > float("-inf")
+    return UpstreamBoard(
+        id=name,
+        primary=name == home.view.primary,
+        promised=status.promised if status else 0,
+        received=status.received if status else 0,
+        applied=status.applied if status else 0,
+        lag_ms=round((home.ctx.now - as_of) * 1000, 1) if proved else -1.0,
+        running=lane.running,
+        slots=lane.slots,
+        silent=home.failover.suspicious(name),
+    )
--- /dev/null
+++ b/packages/core/gypsum_core/jobs.py
@@ -0,0 +1,102 @@
+"""Requests and operations while a home works on them."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from gypsum_core.records import Mode, Position, Reason, Request, Result, Verb
+from gypsum_core.spec import KindSpec
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Job:
+    """One request at its home.
+
+    `origin` is the daemon to answer. `maybe_run` says that an attempt may have
+    taken effect, so that "not run" needs proof. `closed` says that the final
+    answer is out and whatever comes later is dropped.
+    """
+
+    request: Request
+    origin: str
+    kind: KindSpec
+    arrived: float
+    maybe_run: bool = False
+    attempts: int = 0
+    closed: bool = False
+    settling: bool = False
+    waited_replica: bool = False
+    why_primary: Reason | None = None
+    result: Result | None = None
+    position: Position | None = None
+    served_by: str = ""
+    step: str = "queue"
+    op: int = 0
+
+    @property
+    def caller(self):
+        """Whose writes the next read of this caller must show."""
+        return (self.request.member, self.request.caller)
+
+    @property
+    def is_read(self):
+        """Tell whether a replica may serve it."""
+        return self.request.verb is Verb.QUERY and self.kind.mode is Mode.READ
+
+    @property
+    def writes(self):
+        """Tell whether it leaves a ledger row."""
+        if self.request.verb is Verb.COMMIT:
+            return True
+        return self.request.verb is Verb.QUERY and self.kind.mode is Mode.WRITE
+
+
+class Work(StrEnum):
+    """What an upstream operation is for."""
+
+    PROBE = "probe"
+    ASKED_PROBE = "asked_probe"
+    FENCE = "fence"
+    PROMOTE = "promote"
+    FOLLOW = "follow"
+    CLAIM = "claim"
+    READ = "read"
+    WRITE = "write"
+    SETTLE = "settle"
+    TX_BEGIN = "begin"
+    TX_RUN = "tx_query"
+    TX_COMMIT = "commit"
+
+
+SLOTTED = frozenset(
+    {
+        Work.READ,
+        Work.WRITE,
+        Work.SETTLE,
+        Work.TX_BEGIN,
+        Work.TX_RUN,
+        Work.TX_COMMIT,
+    }
+)
+
+LASTING = frozenset({Work.WRITE, Work.TX_COMMIT})
+
+
+@dataclass(slots=True, kw_only=True)
+class Operation:
+    """An upstream action in flight.
+
+    `as_of` is the time from which a read's age counts; `maybe_run_before` what
+    the job's `maybe_run` returns to when this attempt provably did nothing.
+    """
+
+    op: int
+    work: Work
+    upstream: str
+    sent_at: float
+    term: int
+    job: Job | None = None
+    as_of: float = 0.0
+    asker: str = ""
+    nonce: int = 0
+    fresh: bool = False
+    maybe_run_before: bool = False
--- /dev/null
+++ b/packages/core/gypsum_core/limits.py
@@ -0,0 +1,44 @@
+"""Slots of each upstream and the time its work takes."""
+
+from dataclasses import dataclass
+
+SMOOTHING = 0.1
+FIRST_GUESS = 0.005
+
+
+@dataclass(slots=True, kw_only=True)
+class Lane:
+    """One upstream's slots, what runs in them and how long that takes."""
+
+    slots: int
+    running: int = 0
+    service: float = FIRST_GUESS
+
+    @property
+    def free(self):
+        """How many more statements it may run at once."""
+        return max(0, self.slots - self.running)
+
+    @property
+    def delay(self):
+        """Expected delay in seconds of one more statement."""
+        return self.service * (1.0 + self.running / max(1, self.slots))
+
+    def enter(self):
+        """A statement starts."""
+        self.running += 1
+
+    def leave(self, seconds):
+        """A statement ended after `seconds` (None: it did not run to its end)."""
+        self.running = max(0, self.running - 1)
+        if seconds is not None:
+            self.service += SMOOTHING * (seconds - self.service)
+
+
+def expected_wait(*, ahead, share, slots, service):
+    """Seconds until a request behind `ahead` others of its member is served.
+
+    `share` is the part of the slots that the member's weight gives it among the
+    members that wait.
+    """
+    return (ahead + 1) * service / max(slots * share, 1e-9)
--- /dev/null
+++ b/packages/core/gypsum_core/messages.py
@@ -0,0 +1,130 @@
+"""Messages between daemons."""
+
+from dataclasses import dataclass
+
+from gypsum_core.records import Answer, Request
+from gypsum_core.spec import Instance
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Message:
+    """Base of all messages between daemons."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Forward(Message):
+    """A request handed to the database's home.
+
+    `deadline` inside the request is relative on the wire: seconds left.
+    """
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answered(Message):
+    """The home's final answer."""
+
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Redirect(Message):
+    """The home cannot serve the request but believes that `to` can."""
+
+    request: str
+    to: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ping(Message):
+    """Are you alive? `nonce` comes back in the `Pong`."""
+
+    nonce: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pong(Message):
+    """The answer to a `Ping`; `leaving` asks for no new work."""
+
+    nonce: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskPrimary(Message):
+    """Do you hear this upstream? Asked before it is deposed."""
+
+    database: str
+    upstream: str
+    nonce: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PrimaryHeard(Message):
+    """The answer to `AskPrimary`."""
+
+    database: str
+    upstream: str
+    nonce: int
+    heard: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TermNews(Message):
+    """A promotion took place: who leads the group at which term."""
+
+    database: str
+    term: int
+    primary: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Leaving(Message):
+    """The sender drains: send it no new work."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ManifestEntry:
+    """One database's manifest at one version, in its JSON form."""
+
+    database: str
+    version: int
+    body: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Changes(Message):
+    """Manifests that the sender holds in force.
+
+    `complete` says that nothing newer is missing from what the sender has;
+    `instances` is its list of instances, for a daemon that starts while the
+    platform is away.
+    """
+
+    entries: tuple[ManifestEntry, ...]
+    complete: bool = False
+    instances: tuple[Instance, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Digest(Message):
+    """A hash over the versions in force; a differing peer sends its versions."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DatabaseVersion:
+    """The version in force of one database's manifest."""
+
+    database: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Versions(Message):
+    """The versions that the sender holds; `reply` asks for the other's too."""
+
+    versions: tuple[DatabaseVersion, ...]
+    reply: bool = False
--- /dev/null
+++ b/packages/core/gypsum_core/readdesk.py
@@ -0,0 +1,138 @@
+"""Where a read may lawfully go, and where it should."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from gypsum_core.records import Reason
+
+
+class Place(StrEnum):
+    """Outcome of placing a read."""
+
+    REPLICA = "replica"
+    PRIMARY = "primary"
+    ROUND = "round"
+    CATCH_UP = "catch_up"
+    STUCK = "stuck"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Placement:
+    """Where a read goes; `upstreams` are the lawful replicas."""
+
+    place: Place
+    upstreams: tuple[str, ...] = ()
+    why: Reason | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class ReadCounts:
+    """Reads by where they were served, for the replica share."""
+
+    replica: int = 0
+    primary: int = 0
+    why: dict[str, int] = field(default_factory=dict)
+
+    def served(self, job, upstream, primary):
+        """Count one served read."""
+        if upstream != primary:
+            self.replica += 1
+            return
+        self.primary += 1
+        why = job.why_primary or Reason.NO_PRIMARY
+        self.why[why] = self.why.get(why, 0) + 1
+
+
+class ReadDesk:
+    """Places reads by what the group view proves."""
+
+    def __init__(self, *, ctx, view, failover, recent, lanes, leaving):
+        self.ctx = ctx
+        self.view = view
+        self.failover = failover
+        self.recent = recent
+        self.lanes = lanes
+        self.leaving = leaving
+        self.counts = ReadCounts()
+
+    def vouched(self, job, claimed):
+        """Tell whether the recent writers' table is complete for this read.
+
+        True when, at some time after the read arrived, the group's claim still
+        named us and no newer primary had acknowledged anything.
+        """
+        return claimed and self.view.verified_at() >= job.arrived
+
+    def floor(self, job):
+        """The position that the answer must show."""
+        if job.request.session is not None:
+            return job.request.session
+        return self.recent.needs(job.caller)
+
+    def fresh(self, job, upstream):
+        """Tell whether an upstream's data is proved to be young enough."""
+        as_of = self.view.as_of(upstream)
+        if as_of >= job.arrived:
+            return True
+        age = self.ctx.now + self.ctx.tuning.route_margin - as_of
+        return age * 1000 <= job.kind.max_age_ms
+
+    def place(self, job, claimed):
+        """Decide where a read goes now."""
+        needs_vouching = job.request.session is None
+        if needs_vouching and not self.vouched(job, claimed):
+            return Placement(place=Place.ROUND)
+        floor = self.floor(job)
+        live = self.live_replicas()
+        lawful = tuple(
+            name
+            for name in live
+            if self.view.status(name).visible.covers(floor) and self.fresh(job, name)
+        )
+        if lawful:
+            return Placement(place=Place.REPLICA, upstreams=lawful)
+        if self.worth_waiting(job, live):
+            return Placement(place=Place.CATCH_UP)
+        return self.place_primary(job, floor)
+
+    def place_primary(self, job, floor):
+        """Send a read to the primary if that is proved to be current."""
+        why = Reason.REPLICAS_BEHIND
+        primary = self.view.primary
+        if primary is None or self.view.term < floor.term:
+            return Placement(place=Place.STUCK, why=Reason.NO_PRIMARY)
+        if not self.fresh(job, primary):
+            return Placement(place=Place.ROUND, why=why)
+        return Placement(place=Place.PRIMARY, why=why)
+
+    def live_replicas(self):
+        """Replicas that answer, follow this term and do not leave."""
+        return [
+            name
+            for name in self.view.upstreams
+            if name != self.view.primary
+            and self.view.status(name) is not None
+            and self.view.status(name).log_term == self.view.term
+            and self.failover.trusted(name)
+            and not self.leaving(name)
+        ]
+
+    def worth_waiting(self, job, live):
+        """Tell whether a replica's lag says that it will soon cover this read.
+
+        A replica whose data is younger than the bounded wait will have caught
+        up with anything written before the read by the end of it.
+        """
+        if job.waited_replica or job.kind.max_age_ms <= 0:
+            return False
+        wait = self.ctx.tuning.replica_wait
+        if job.request.deadline - self.ctx.now < 4 * wait:
+            return False
+        poll = self.ctx.tuning.poll_interval
+        ages = [self.ctx.now - self.view.as_of(name) for name in live]
+        return any(age < wait + poll for age in ages)
+
+    def quickest(self, upstreams):
+        """The replica with a free slot and the least expected delay, or None."""
+        free = [name for name in upstreams if self.lanes[name].free]
+        return min(free, key=lambda name: (self.lanes[name].delay, name), default=None)
--- /dev/null
+++ b/packages/daemon/gypsum_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""gypsumhitchd: the shell around the decision logic."""
--- /dev/null
+++ b/packages/daemon/gypsum_daemon/logs.py
@@ -0,0 +1,39 @@
+"""Logging: short sentences with a prefix for each part, as text or JSON lines."""
+
+import json
+import sys
+from datetime import UTC, datetime
+from logging import Formatter
+
+from absl import logging
+
+
+class JsonFormatter(Formatter):
+    """One JSON object a line: time, level, part, text."""
+
+    def format(self, record):
+        """Format a record; the prefix before the first colon is the part."""
+        text = record.getMessage()
+        part, found, rest = text.partition(": ")
+        line = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
+            "level": record.levelname.lower(),
+            "part": part if found else "",
+            "text": rest if found else text,
+        }
+        return json.dumps(line)
+
+
+def set_up(log_format):
+    """Send logs to standard error in the chosen form."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    if log_format == "json":
+        handler.setFormatter(JsonFormatter())
+
+
+def write(part, text):
+    """Write one line."""
+    logging.info("%s: %s", part, text)
--- /dev/null
+++ b/packages/links/gypsum_links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons."""
--- /dev/null
+++ b/packages/model/gypsum_model/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models at the border: settings, manifests, what people write."""
--- /dev/null
+++ b/packages/upstream/gypsum_upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams, and the verbs of their database groups."""
--- /dev/null
+++ b/packages/upstream/gypsum_upstream/sql.py
@@ -0,0 +1,25 @@
+"""Running statements on one connection."""
+
+from gypsum_core.records import Result
+from gypsum_upstream.dialect import STATUS_SQL, read_status
+from gypsum_upstream.values import plain_rows
+
+
+async def run(conn, sql, params=()):
+    """Run one statement and read its whole answer."""
+    async with conn.cursor() as cursor:
+        await cursor.execute(sql, params or None)
+        columns = tuple(item[0] for item in cursor.description or ())
+        rows = plain_rows(await cursor.fetchall()) if columns else ()
+        return Result(
+            columns=columns,
+            rows=rows,
+            affected=max(0, cursor.rowcount) if not columns else 0,
+            last_id=cursor.lastrowid or 0,
+        )
+
+
+async def ask_status(conn, sql=STATUS_SQL, params=()):
+    """Run a group verb and read the status that it answers with."""
+    result = await run(conn, sql, params)
+    return read_status(result.rows[0])
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,394 @@
+"""Starts stand-ins and daemons as processes, for process tests and the demo."""
+
+import json
+import os
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+START_LIMIT = 60.0
+SECRET = "not-so-secret-link"
+SESSION_KEY = "not-so-secret-session"
+SCHEMA = """
+CREATE TABLE requests (id INTEGER PRIMARY KEY, applicant TEXT, status TEXT);
+INSERT INTO requests VALUES (1, 'first', 'filed');
+"""
+
+
+@dataclass
+class Answer:
+    """An HTTP answer."""
+
+    status: int
+    headers: dict
+    body: dict
+
+    @property
+    def session(self):
+        """The session token that came with it."""
+        return self.headers.get("Gypsum-Session", "")
+
+
+def call(url, *, method="GET", body=None, headers=None, timeout=30.0):
+    """One HTTP call; error answers are answers too."""
+    data = body.encode() if isinstance(body, str) else body
+    if isinstance(body, dict):
+        data = json.dumps(body).encode()
+    req = urllib.request.Request(
+        url, data=data, method=method, headers=dict(headers or {})
+    )
+    try:
+        with urllib.request.urlopen(req, timeout=timeout) as response:
+            return read_answer(response.status, response)
+    except urllib.error.HTTPError as exc:
+        with exc:
+            return read_answer(exc.code, exc)
+
+
+def read_answer(status, response):
+    """An answer with its JSON body, if it has one."""
+    raw = response.read()
+    try:
+        body = json.loads(raw)
+    except ValueError:
+        body = {"text": raw.decode(errors="replace")}
+    return Answer(status=status, headers=dict(response.headers), body=body)
+
+
+@dataclass
+class Process:
+    """A started process and what it said when it was ready."""
+
+    name: str
+    popen: subprocess.Popen
+    ready: list = field(default_factory=list)
+
+    def wait_ready(self, limit=START_LIMIT):
+        """Read its ready line."""
+        found, _, _ = select.select([self.popen.stdout], [], [], limit)
+        line = self.popen.stdout.readline().decode() if found else ""
+        if not line.startswith("ready"):
+            raise RuntimeError(f"{self.name} did not start: {line!r}")
+        self.ready = line.split()[1:]
+        return self
+
+    def signal(self, number):
+        """Send a signal to this process only."""
+        self.popen.send_signal(number)
+
+    def kill(self):
+        """End it at once."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+        self.popen.wait(START_LIMIT)
+
+
+class Cluster:
+    """A platform, one group of three upstreams, and some daemons."""
+
+    def __init__(self, *, daemons=3, database="grid", lag_ms=40, tuning=None):
+        self.database = database
+        self.folder = tempfile.TemporaryDirectory(prefix="gypsum-")
+        self.path = Path(self.folder.name)
+        self.processes = []
+        self.upstreams = {}
+        self.daemons = {}
+        self.lag_ms = lag_ms
+        self.tuning = tuning or {}
+        self.platform = None
+        self.daemon_count = daemons
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    # Starting
+
+    def start(self):
+        """Start everything and commit the manifest."""
+        self.start_platform()
+        self.start_upstreams()
+        for number in range(self.daemon_count):
+            self.spawn_daemon(number)
+        for daemon in self.daemons.values():
+            daemon.wait_ready()
+        self.publish_instances()
+        self.write_manifest()
+
+    def spawn(self, name, args):
+        """Start a process."""
+        with (self.path / f"{name}.log").open("ab") as log:
+            popen = subprocess.Popen(
+                args,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        process = Process(name=name, popen=popen)
+        self.processes.append(process)
+        return process
+
+    def start_platform(self):
+        """Start the platform's stand-in."""
+        args = [sys.executable, "-m", "tests.standins.platform"]
+        self.platform = self.spawn("platform", args).wait_ready()
+        self.platform_url = f"http://{HOST}:{self.platform.ready[0]}"
+
+    def start_upstreams(self):
+        """Start the group: u1 is primary, the others follow it with a lag."""
+        names = ["u1", "u2", "u3"]
+        ports = free_ports(2 * len(names))
+        self.sql_ports = dict(zip(names, ports[:3], strict=True))
+        self.ship_ports = dict(zip(names, ports[3:], strict=True))
+        for name in names:
+            self.start_upstream(name, primary=name == "u1")
+
+    def start_upstream(self, name, *, primary, follows="u1"):
+        """Start one upstream, empty."""
+        cfg = {
+            "id": name,
+            "primary": primary,
+            "follows": "" if primary else follows,
+            "schema": SCHEMA,
+            "port": self.sql_ports[name],
+            "ship_port": self.ship_ports[name],
+            "ship": self.ship_ports,
+            "apply_lag_ms": 0 if primary else self.lag_ms,
+        }
+        path = self.path / f"{name}.json"
+        path.write_text(json.dumps(cfg))
+        args = [sys.executable, "-m", "tests.standins.upstream", str(path)]
+        self.upstreams[name] = self.spawn(name, args).wait_ready()
+
+    def daemon_settings(self, number):
+        """The settings of one daemon."""
+        return {
+            "daemon": f"d{number}",
+            "domain": f"fd{number % 3}",
+            "callers": {"host": HOST, "port": 0},
+            "peers": {"host": HOST, "port": 0},
+            "operators": {"host": HOST, "port": 0},
+            "platform": self.platform_url,
+            "link_secret": SECRET,
+            "session_keys": [SESSION_KEY],
+            "instance_poll_s": 0.2,
+            "seeds": [
+                {"id": name, "domain": f"fd{int(name[1:]) % 3}", "address": address}
+                for name, address in self.peer_addresses().items()
+                if name != f"d{number}"
+            ],
+            "tuning": self.tuning,
+        }
+
+    def spawn_daemon(self, number):
+        """Start one daemon without waiting for it."""
+        name = f"d{number}"
+        path = self.path / f"{name}.json"
+        path.write_text(json.dumps(self.daemon_settings(number)))
+        binary = Path(sys.executable).parent / "gypsumhitchd"
+        process = self.spawn(name, [str(binary), "--settings", str(path)])
+        self.daemons[name] = process
+        return process
+
+    def peer_addresses(self):
+        """Link addresses of the daemons that are up."""
+        return {
+            name: f"{HOST}:{ports(process)['peers']}"
+            for name, process in self.daemons.items()
+            if process.ready
+        }
+
+    def publish_instances(self, *, leaving=()):
+        """Set the platform's instance list."""
+        addresses = self.peer_addresses()
+        instances = [
+            {
+                "id": name,
+                "role": "daemon",
+                "domain": f"fd{int(name[1:]) % 3}",
+                "address": addresses[name],
+                "leaving": name in leaving,
+            }
+            for name in self.daemons
+        ] + [
+            {
+                "id": name,
+                "role": "upstream",
+                "domain": f"fd{int(name[1:]) % 3}",
+                "leaving": name in leaving,
+            }
+            for name in self.upstreams
+        ]
+        url = f"{self.platform_url}/instances"
+        call(url, method="PUT", body={"instances": instances})
+
+    def set_faults(self, **faults):
+        """Set what is wrong with the platform."""
+        call(f"{self.platform_url}/faults", method="PUT", body=faults)
+
+    def manifest(self):
+        """The manifest that the tests use."""
+        return {
+            "database": self.database,
+            "upstreams": [
+                {
+                    "id": name,
+                    "domain": f"fd{int(name[1:]) % 3}",
+                    "host": HOST,
+                    "port": self.sql_ports[name],
+                    "slots": 5,
+                    "connections": 35,
+                }
+                for name in self.upstreams
+            ],
+            "kinds": [
+                {"name": "status", "mode": "read", "max_age_ms": 2000, "worth": 1},
+                {"name": "review", "mode": "read", "max_age_ms": 0, "worth": 3},
+                {"name": "submit", "mode": "write", "worth": 10, "repeatable": False},
+                {"name": "note", "mode": "write", "worth": 2},
+                {"name": "plan", "mode": "transaction", "worth": 5},
+            ],
+            "members": [{"name": "north", "weight": 2}, {"name": "south"}],
+        }
+
+    def write_manifest(self):
+        """Commit the manifest with the operator's command and wait for it."""
+        path = self.path / "manifest.json"
+        path.write_text(json.dumps(self.manifest()))
+        done = self.command("apply", str(path), "--platform", self.platform_url)
+        if done.returncode:
+            raise RuntimeError(done.stderr)
+        self.wait_in_force()
+
+    def wait_in_force(self, limit=START_LIMIT):
+        """Wait until the accepted version is in force everywhere."""
+        end = time.monotonic() + limit
+        while self.status().returncode:
+            if time.monotonic() > end:
+                raise RuntimeError("the manifest did not come into force")
+            time.sleep(0.1)
+
+    def status(self):
+        """The operator's status command over all live daemons."""
+        live = [item for item in self.daemons.values() if item.popen.poll() is None]
+        args = []
+        for item in live:
+            args += ["--daemon", f"{HOST}:{ports(item)['operators']}"]
+        return self.command("status", "--platform", self.platform_url, *args)
+
+    def command(self, *args):
+        """Run the operator's command."""
+        binary = Path(sys.executable).parent / "gypsumhitch"
+        return subprocess.run(
+            [str(binary), *args],
+            capture_output=True,
+            text=True,
+            timeout=START_LIMIT,
+            check=False,
+        )
+
+    # Calls
+
+    def url(self, daemon, path):
+        """A caller's URL at a daemon."""
+        port = ports(self.daemons[daemon])["callers"]
+        return f"http://{HOST}:{port}/v1/{self.database}/{path}"
+
+    def operator_url(self, daemon, path):
+        """An operator's URL at a daemon."""
+        return f"http://{HOST}:{ports(self.daemons[daemon])['operators']}{path}"
+
+    def query(self, daemon, kind, sql, params=(), *, member="north", **headers):
+        """Run a statement through a daemon; headers with _ for -."""
+        body = {"kind": kind, "member": member, "sql": sql, "params": list(params)}
+        return self.post(daemon, "query", body, **headers)
+
+    def post(self, daemon, path, body, **headers):
+        """Post to a daemon."""
+        named = {
+            name.replace("_", "-"): value for name, value in headers.items() if value
+        }
+        return call(self.url(daemon, path), method="POST", body=body, headers=named)
+
+    def explain(self, daemon):
+        """What a daemon says of the database."""
+        return call(self.operator_url(daemon, f"/explain/{self.database}")).body
+
+    def home(self):
+        """The database's home and its board."""
+        order = self.explain(next(iter(self.live_daemons())))["order"]
+        return order[0], self.explain(order[0])["home"]
+
+    def live_daemons(self):
+        """Names of the daemons that run."""
+        return [
+            name for name, item in self.daemons.items() if item.popen.poll() is None
+        ]
+
+    def upstream_sql(self, name, sql):
+        """Run a test switch at an upstream."""
+        import asyncio
+
+        return asyncio.run(run_at(self.sql_ports[name], sql))
+
+    # Stopping
+
+    def stop(self):
+        """End every process that we started."""
+        for process in reversed(self.processes):
+            process.kill()
+            process.popen.stdout.close()
+        self.folder.cleanup()
+
+    def logs(self, name):
+        """What a process wrote to standard error."""
+        return (self.path / f"{name}.log").read_text(errors="replace")
+
+
+def ports(process):
+    """The ports that a daemon announced."""
+    return dict(item.split("=") for item in process.ready[1:])
+
+
+def free_ports(count):
+    """Ports that are free now."""
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((HOST, 0))
+    numbers = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return numbers
+
+
+async def run_at(port, sql):
+    """Run one statement at an upstream."""
+    import asyncmy
+
+    conn = await asyncmy.connect(host=HOST, port=port, user="test", autocommit=True)
+    try:
+        async with conn.cursor() as cursor:
+            await cursor.execute(sql)
+            return await cursor.fetchall()
+    finally:
+        conn.close()
