--- a/packages/core/gypsum_core/entry.py
+++ b/packages/core/gypsum_core/entry.py
@@ -5,7 +5,7 @@
 from gypsum_core.actions import DropLink, Reply
 from gypsum_core.checks import check_request
 from gypsum_core.messages import Forward
-from gypsum_core.records import Answer, Outcome, Reason, Request, Verb
+from gypsum_core.records import Answer, Mode, Outcome, Reason, Request, Verb
 
 PART = "entry"
 CHECK_INTERVAL = 0.1
@@ -19,6 +19,8 @@
     """A request on its way. `sent` says that a home may have worked on it."""
 
     request: Request
+    since: float
+    max_age_ms: float = float("inf")
     target: str = ""
     sent: bool = False
     tried: set[str] = field(default_factory=set)
@@ -47,7 +49,11 @@
         if request.deadline <= self.ctx.now:
             self.refuse(request, Reason.DEADLINE, "the deadline was over on arrival")
             return
-        self.flights[request.id] = Flight(request=request)
+        self.flights[request.id] = Flight(
+            request=request,
+            since=self.ctx.now,
+            max_age_ms=max_age_of(spec, request),
+        )
         self.ctx.set_timer(
             request.deadline + GRACE - self.ctx.now, part=PART, detail=request.id
         )
@@ -154,10 +160,27 @@
 
     def answered(self, answer):
         """A home gave its final answer; a second one for the request is dropped."""
-        if answer.request not in self.flights:
+        flight = self.flights.get(answer.request)
+        if flight is None:
+            return
+        if self.too_old(flight, answer):
+            flight.request = replace(flight.request, current=True)
+            flight.tried.clear()
+            self.forward(flight)
             return
         self.reply(answer)
 
+    def too_old(self, flight, answer):
+        """Tell whether an answer may have aged too much on its way.
+
+        What goes wrong without it: an answer lies in a stopped process or a slow
+        link and is passed on as if it were still young enough.
+        """
+        if answer.outcome is not Outcome.DONE or answer.current:
+            return False
+        waited = self.ctx.now - flight.since
+        return answer.age_ms + waited * 1000 > flight.max_age_ms
+
     def redirected(self, request_id, to):
         """A home cannot serve the request and knows who might."""
         flight = self.flights.get(request_id)
@@ -217,3 +240,11 @@
             f"{flight.target} did not answer in time",
             unclear=flight.sent,
         )
+
+
+def max_age_of(spec, request):
+    """The age in milliseconds that the answer's data may have."""
+    kind = spec.kind_by_name.get(request.kind)
+    if request.verb is not Verb.QUERY or kind is None or kind.mode is not Mode.READ:
+        return float("inf")
+    return kind.max_age_ms
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -817,9 +817,12 @@
         if job.closed:
             return
         age = max(0.0, self.ctx.now - operation.as_of)
-        if operation.as_of < job.arrived and age * 1000 > job.kind.max_age_ms:
-            # The answer was young enough when it was asked for but lay about,
-            # for instance while this process was stopped.
+        current = operation.as_of >= job.arrived
+        if not current and age * 1000 > job.kind.max_age_ms:
+            # The data was young enough when it was asked for but lay about, for
+            # instance while this process was stopped. Ask for current data: that
+            # stays right however long it takes.
+            job.request = replace(job.request, current=True)
             self.place_read(job)
             return
         self.reads.counts.served(job, operation.upstream, self.view.primary)
@@ -832,6 +835,7 @@
                 served_by=operation.upstream,
                 position=job.request.session,
                 age_ms=age * 1000,
+                current=current,
             ),
         )
 
--- a/packages/core/gypsum_core/readdesk.py
+++ b/packages/core/gypsum_core/readdesk.py
@@ -74,6 +74,8 @@
         as_of = self.view.as_of(upstream)
         if as_of >= job.arrived:
             return True
+        if job.request.current:
+            return False
         age = self.ctx.now + self.ctx.tuning.route_margin - as_of
         return age * 1000 <= job.kind.max_age_ms
 
--- a/packages/core/gypsum_core/records.py
+++ b/packages/core/gypsum_core/records.py
@@ -116,7 +116,9 @@
     `deadline` is in seconds on the clock of the daemon that holds the request;
     `session` the position its token proves, `caller` an optional name within
     the member; `key` is always set for writes and commits, `keyed` says that the
-    caller chose it. `hops` counts redirects between daemons.
+    caller chose it. `hops` counts redirects between daemons. `current` asks a
+    read to show everything acknowledged before it was asked, whatever its kind
+    allows.
     """
 
     id: str
@@ -132,6 +134,7 @@
     keyed: bool = False
     tx: str = ""
     hops: int = 0
+    current: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -151,7 +154,8 @@
 
     `position` is what the caller's session must see from now on, `age_ms` the
     proven bound on the age of the data, `retry_after_s` when to come back (0:
-    coming back does not help).
+    coming back does not help). `current` says that the data shows everything
+    acknowledged before the request was asked.
     """
 
     request: str
@@ -167,3 +171,4 @@
     retry_after_s: float = 0.0
     tx: str = ""
     key: str = ""
+    current: bool = False
--- /dev/null
+++ b/tests/fakes/group.py
@@ -0,0 +1,369 @@
+"""A database group in virtual time: members, log shipping, statements, faults."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from gypsum_core import actions
+from gypsum_core.events import Failed, Ran, Settled, StatusKnown
+from gypsum_core.records import Result
+from tests.fakes.member import FakeMember, OpenTx, Refused, SetClaim, Stale
+
+HEARTBEAT = 0.05
+
+
+@dataclass
+class Server:
+    """One member as a machine: what runs, what waits, what is wrong with it."""
+
+    member: FakeMember
+    slots: int
+    service: float
+    ship_lag: float = 0.0
+    apply_lag: float = 0.0
+    dead: bool = False
+    frozen: bool = False
+    running: int = 0
+    queue: deque = field(default_factory=deque)
+    backlog: list = field(default_factory=list)
+    txs: dict = field(default_factory=dict)
+    arrivals: list = field(default_factory=list)
+    dead_sessions: set = field(default_factory=set)
+
+
+class FakeGroup:
+    """Executes upstream actions of all daemons on one group's members."""
+
+    def __init__(self, *, world, names, slots, service):
+        self.world = world
+        self.clock = world.clock
+        self.servers = {
+            name: Server(
+                member=FakeMember(name=name, primary=name == names[0]),
+                slots=slots,
+                service=service,
+            )
+            for name in names
+        }
+        for name in names[1:]:
+            self.member(name).follows = names[0]
+        self.promoted = [(0.0, 1, names[0])]
+        self.clock.after(HEARTBEAT, self.beat)
+
+    def member(self, name):
+        """A member's state."""
+        return self.servers[name].member
+
+    def leader(self):
+        """The member that leads the highest term."""
+        leaders = [item.member for item in self.servers.values() if item.member.primary]
+        return max(leaders, key=lambda member: member.promised, default=None)
+
+    # Shipping
+
+    def beat(self):
+        """Primaries ship what followers lack, and a sign of life."""
+        for name, server in self.servers.items():
+            if server.member.primary and not server.dead and not server.frozen:
+                self.ship(name)
+        self.clock.after(HEARTBEAT, self.beat)
+
+    def ship(self, source):
+        """Send a primary's log to its followers."""
+        member = self.member(source)
+        for name in self.servers:
+            if name == source or self.world.is_cut(source, name):
+                continue
+            latency = self.world.latency(source, name)
+            entries = tuple(member.log)
+            self.clock.after(
+                latency, self.arrive, source, name, member.promised, entries
+            )
+
+    def arrive(self, source, name, term, entries):
+        """A shipment reaches a follower; heartbeats count at once, data later."""
+        server = self.servers[name]
+        member = server.member
+        if server.dead or server.frozen or self.world.is_cut(source, name):
+            return
+        if member.follows != source or member.promised > term:
+            return
+        member.promised = max(member.promised, term)
+        member.heard_at = self.clock.now
+        self.clock.after(server.ship_lag, self.receive, source, name, term, entries)
+
+    def receive(self, source, name, term, entries):
+        """The data of a shipment enters the follower's log."""
+        server = self.servers[name]
+        member = server.member
+        if server.dead or server.frozen:
+            return
+        if member.follows != source or member.promised != term:
+            return
+        shared = shared_length(member, entries)
+        if shared == len(entries):
+            return
+        member.cut_to(shared)
+        member.log.extend(entries[shared:])
+        self.clock.after(server.apply_lag, self.apply, name, len(member.log))
+
+    def apply(self, name, length):
+        """A follower makes received entries visible."""
+        server = self.servers[name]
+        if server.frozen:
+            self.clock.after(HEARTBEAT, self.apply, name, length)
+            return
+        if not server.dead and not server.member.primary:
+            server.member.apply_to(min(length, len(server.member.log)))
+
+    # Actions
+
+    def start(self, host, action):
+        """Carry an upstream action of a daemon over the network."""
+        call = Call(group=self, host=host, action=action)
+        call.send()
+
+    def deliver(self, call):
+        """An action reaches its member."""
+        server = self.servers[call.action.upstream]
+        if server.dead:
+            call.fail(sent=False, detail="connection refused")
+            return
+        if server.frozen:
+            server.backlog.append(call)
+            return
+        server.arrivals.append((self.clock.now, call.action))
+        if not call.slotted:
+            self.run(server, call)
+        elif server.running < server.slots:
+            self.occupy(server, call)
+        else:
+            server.queue.append(call)
+
+    def occupy(self, server, call):
+        """A statement takes a slot for its service time."""
+        server.running += 1
+        self.world.reach("running", call)
+        seconds = server.service * self.world.service_factor(call)
+        self.clock.after(seconds, self.complete, server, call)
+
+    def complete(self, server, call):
+        """A statement's time is over."""
+        if server.dead:
+            return
+        if server.frozen:
+            server.backlog.append(call)
+            server.running -= 1
+            return
+        server.running -= 1
+        self.run(server, call)
+        while server.queue and server.running < server.slots:
+            self.occupy(server, server.queue.popleft())
+
+    def run(self, server, call):
+        """Execute an action on the member and answer it."""
+        if call.killed and call.writes:
+            # The daemon ended this session before the statement committed.
+            return
+        try:
+            event = self.execute(server, call)
+        except Stale as exc:
+            call.fail(sent=False, detail=str(exc), stale=True)
+            return
+        except Refused as exc:
+            call.fail(sent=False, detail="refused", reason=exc.reason)
+            return
+        except KeyError:
+            call.fail(sent=False, detail="no such transaction")
+            return
+        if call.writes:
+            self.world.reach("committed", call)
+            if self.servers[call.action.upstream].dead:
+                return
+            self.ship(call.action.upstream)
+        call.answer(event)
+
+    def execute(self, server, call):
+        """What each action does; returns its event."""
+        action, member, now = call.action, server.member, self.clock.now
+        ids = {"op": action.op, "database": action.database}
+        if isinstance(action, actions.Read):
+            return Ran(**ids, result=member.read(action.statement))
+        if isinstance(action, actions.Write):
+            result, position = member.write(action)
+            return Ran(**ids, result=result, position=position)
+        if isinstance(action, actions.Settle):
+            result, position = member.settle(action.row)
+            return Settled(**ids, result=result, position=position)
+        if isinstance(action, actions.TxBegin):
+            server.txs[action.tx] = OpenTx()
+            return Ran(**ids, result=Result())
+        if isinstance(action, actions.TxRun):
+            return Ran(**ids, result=self.run_in_tx(server, action))
+        if isinstance(action, actions.TxCommit):
+            result, position = member.commit_tx(server.txs.pop(action.tx), action)
+            return Ran(**ids, result=result, position=position)
+        self.execute_verb(member, action)
+        return StatusKnown(**ids, status=member.status(now))
+
+    def run_in_tx(self, server, action):
+        """A read or write inside a transaction."""
+        tx = server.txs[action.tx]
+        if action.statement.sql.startswith("select"):
+            return server.member.read(action.statement)
+        tx.effects.append(server.member.put(action.statement))
+        return Result()
+
+    def execute_verb(self, member, action):
+        """Group verbs and claims."""
+        if isinstance(action, actions.Fence):
+            member.fence(action.term)
+        elif isinstance(action, actions.Promote):
+            was = member.primary
+            member.promote(action.term)
+            if member.primary and not was:
+                self.promoted.append((self.clock.now, member.promised, member.name))
+                self.ship(member.name)
+        elif isinstance(action, actions.Follow):
+            member.follow(action.term, action.primary, self.clock.now)
+        elif isinstance(action, actions.Claim):
+            member.commit([SetClaim(action.holder)])
+            self.ship(member.name)
+
+    def forget_transactions(self, daemon):
+        """A daemon's connections closed: its open transactions roll back."""
+        for server in self.servers.values():
+            for name in [item for item in server.txs if item.startswith(daemon + ".")]:
+                del server.txs[name]
+
+    # Faults
+
+    def kill(self, name):
+        """A member dies; what ran there is lost, its log stays."""
+        server = self.servers[name]
+        server.dead = True
+        server.running = 0
+        server.queue.clear()
+        server.backlog.clear()
+        server.txs.clear()
+
+    def revive(self, name):
+        """A member comes back with its log, as it was before."""
+        server = self.servers[name]
+        server.dead = False
+        server.member.heard_at = self.clock.now
+
+    def freeze(self, name):
+        """A member stops running; what arrives waits."""
+        self.servers[name].frozen = True
+
+    def thaw(self, name):
+        """A frozen member goes on where it stopped."""
+        server = self.servers[name]
+        server.frozen = False
+        backlog, server.backlog = server.backlog, []
+        for call in backlog:
+            self.deliver(call)
+
+
+def shared_length(member, entries):
+    """How many entries a member shares with a shipment; the end tells mostly."""
+    length = len(member.log)
+    if length <= len(entries) and (not length or entries[length - 1] is member.log[-1]):
+        return length
+    return member.common_prefix([entry.term for entry in entries])
+
+
+SLOTTED = (
+    actions.Read,
+    actions.Write,
+    actions.Settle,
+    actions.TxBegin,
+    actions.TxRun,
+    actions.TxCommit,
+)
+WRITING = (actions.Write, actions.TxCommit, actions.Settle)
+
+
+class Call:
+    """One upstream action on its way there and back."""
+
+    def __init__(self, *, group, host, action):
+        self.group = group
+        self.world = group.world
+        self.host = host
+        self.action = action
+        self.over = False
+        self.ignored = False
+        self.killed = False
+        self.slotted = isinstance(action, SLOTTED)
+        self.writes = isinstance(action, WRITING)
+        fresh = getattr(action, "fresh", False)
+        self.muted = not fresh and host.is_muted(action.upstream)
+
+    def send(self):
+        """Travel to the member; give up after the action's timeout."""
+        self.world.reach("before_send", self)
+        self.host.calls[self.action.op] = self
+        self.group.clock.after(self.action.timeout, self.time_out)
+        self.travel(self.group.deliver, self)
+        self.world.reach("sent", self)
+
+    def travel(self, function, *args):
+        """One way over the network, unless the path is cut or silent."""
+        path = (self.host.name, self.action.upstream)
+        if self.muted or self.world.is_cut(*path):
+            return
+        latency = self.world.latency(*path)
+        self.group.clock.after(latency, self.arrive, path, function, args)
+
+    def arrive(self, path, function, args):
+        """The end of one way; a cut meanwhile loses the message."""
+        if not self.world.is_cut(*path):
+            function(*args)
+
+    def answer(self, event):
+        """Travel back with an event."""
+        self.travel(self.finish, event)
+
+    def fail(self, **fields):
+        """Travel back with a failure."""
+        fields = {"sent": False, **fields}
+        ids = {"op": self.action.op, "database": self.action.database}
+        self.answer(Failed(**ids, **fields))
+
+    def finish(self, event):
+        """Report to the daemon, once."""
+        if self.over:
+            return
+        self.over = True
+        self.host.calls.pop(self.action.op, None)
+        if not self.ignored:
+            self.world.reach("answered", self)
+            self.host.feed(event)
+
+    def time_out(self):
+        """No answer in time: the connection is discarded, its session ended."""
+        if self.over:
+            return
+        self.kill_session()
+        self.finish(
+            Failed(
+                op=self.action.op,
+                database=self.action.database,
+                sent=self.writes,
+                detail="no answer in time",
+                silent=True,
+            )
+        )
+
+    def ignore(self):
+        """The daemon gave the action up."""
+        self.ignored = True
+        self.kill_session()
+
+    def kill_session(self):
+        """End the session at the member, if a new connection reaches it."""
+        server = self.group.servers[self.action.upstream]
+        cut = self.world.is_cut(self.host.name, self.action.upstream)
+        if not cut and not server.dead and not server.frozen:
+            self.killed = True
--- /dev/null
+++ b/tests/fakes/member.py
@@ -0,0 +1,168 @@
+"""A group member in virtual time: cells instead of tables, the same ledger."""
+
+from dataclasses import dataclass, field
+
+from gypsum_core.records import Position, Reason, Result, Status
+from tests.standins.grouplog import Entry, LogMember
+
+DONE = "done"
+BARRED = "barred"
+
+
+class Stale(Exception):
+    """The member is fenced, or the claim names another daemon."""
+
+
+class Refused(Exception):
+    """Refused for good."""
+
+    def __init__(self, reason):
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclass(frozen=True)
+class Put:
+    """Set a cell; `tag` names the caller whose statement it is."""
+
+    cell: str
+    value: int
+    tag: str
+
+
+@dataclass(frozen=True)
+class LedgerState:
+    """A ledger row's content."""
+
+    state: str
+    fingerprint: str
+
+
+@dataclass(frozen=True)
+class SetLedger:
+    """Set a ledger row."""
+
+    key: tuple
+    row: LedgerState
+
+
+@dataclass(frozen=True)
+class SetClaim:
+    """Set the claim."""
+
+    holder: str
+
+
+@dataclass
+class OpenTx:
+    """A transaction's effects before its commit."""
+
+    effects: list = field(default_factory=list)
+
+
+class FakeMember(LogMember):
+    """A member whose entries hold effects on cells, ledger and claim."""
+
+    def reset_state(self):
+        """Empty cells."""
+        self.cells = {}
+        self.ledger = {}
+        self.claim = ""
+
+    def apply_entry(self, entry):
+        """Make an entry's effects visible."""
+        for effect in entry.content:
+            if isinstance(effect, Put):
+                self.cells[effect.cell] = effect.value
+            elif isinstance(effect, SetLedger):
+                self.ledger[effect.key] = effect.row
+            else:
+                self.claim = effect.holder
+
+    def claim_holder(self):
+        """Who holds the claim."""
+        return self.claim
+
+    def status(self, now):
+        """The member's status."""
+        return Status(
+            upstream=self.name,
+            primary=self.primary,
+            promised=self.promised,
+            log_term=self.log_term,
+            received=len(self.log),
+            applied=self.applied,
+            claim=self.claim,
+            follows=self.follows,
+            heard_ms=self.heard_ms(now),
+            discarded=self.take_discarded(),
+        )
+
+    @property
+    def end(self):
+        """The position of the log's end."""
+        return Position(term=self.log_term, index=len(self.log))
+
+    # Statements
+
+    def commit(self, effects):
+        """Append effects as one transaction."""
+        if not self.primary:
+            raise Stale("not primary")
+        entry = Entry(term=self.promised, content=effects)
+        self.apply_entry(entry)
+        self.append(entry)
+
+    def read(self, statement):
+        """`get CELL...` with the caller's tag as parameter: one row a cell."""
+        cells = statement.sql.split()[1:]
+        tag = statement.params[0]
+        rows = tuple((cell, self.cells.get(cell, 0), tag) for cell in cells)
+        return Result(columns=("cell", "value", "tag"), rows=rows)
+
+    def put(self, statement):
+        """`insert CELL` with value and tag as parameters."""
+        value, tag = statement.params
+        return Put(cell=statement.sql.split()[1], value=value, tag=tag)
+
+    def enter_ledger(self, row, holder):
+        """The ledger's effect, or the result of an earlier run."""
+        if not self.primary:
+            raise Stale("not primary")
+        if self.claim != holder:
+            raise Stale("claim lost")
+        key = (row.member, row.key)
+        known = self.ledger.get(key)
+        if known and known.state == DONE:
+            if row.fingerprint and known.fingerprint != row.fingerprint:
+                raise Refused(Reason.KEY_REUSED)
+            return None
+        return SetLedger(key, LedgerState(DONE, row.fingerprint))
+
+    def write(self, action):
+        """A write with its ledger row; returns its result and position."""
+        mark = self.enter_ledger(action.row, action.holder)
+        if mark is None:
+            return Result(affected=1, replayed=True), self.end
+        self.commit([mark, self.put(action.statement)])
+        return Result(affected=1), self.end
+
+    def settle(self, row):
+        """Bar a key unless it is done."""
+        if not self.primary:
+            raise Stale("not primary")
+        key = (row.member, row.key)
+        known = self.ledger.get(key)
+        if known is None:
+            self.commit([SetLedger(key, LedgerState(BARRED, ""))])
+        if known and known.state == DONE:
+            return Result(affected=1, replayed=True), self.end
+        return None, self.end
+
+    def commit_tx(self, tx, action):
+        """Commit a transaction with its ledger row."""
+        mark = self.enter_ledger(action.row, action.holder)
+        if mark is None:
+            return Result(replayed=True), self.end
+        self.commit([mark, *tx.effects])
+        return Result(), self.end
--- /dev/null
+++ b/tests/matrix.py
@@ -0,0 +1,450 @@
+"""The fault matrix: every fault at every step, each cell one run in virtual time.
+
+`python -m tests.matrix` runs all cells and writes docs/fault-matrix.md.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from gypsum_core import actions
+from gypsum_core.events import DrainAsked
+from tests import scenario
+from tests.fakes.world import make_spec
+
+HEAL_AFTER = 3.0
+AFTER_HEAL = 1.5
+STEP_LIMIT = 4.0
+DOC = Path(__file__).resolve().parent.parent / "docs" / "fault-matrix.md"
+
+
+# Faults: each injects something into a scenario and returns how to heal it.
+
+
+def kill_primary(run):
+    """The primary dies and comes back later."""
+    name = run.group.leader().name
+    run.group.kill(name)
+    return lambda: run.group.revive(name)
+
+
+def cut_primary_from_group(run):
+    """The primary loses its replicas but not the daemons."""
+    name = run.group.leader().name
+    others = [other for other in run.group.servers if other != name]
+    for other in others:
+        run.world.cut(name, other)
+    return run.world.heal
+
+
+def cut_primary_from_daemons(run):
+    """The primary loses all daemons but not its replicas."""
+    name = run.group.leader().name
+    for host in run.world.hosts:
+        run.world.cut(name, host)
+    return run.world.heal
+
+
+def partition_primary_with_one_daemon(run):
+    """The primary and the home end up alone together."""
+    primary = run.group.leader().name
+    home = run.home().name
+    for other in [*run.group.servers, *run.world.hosts]:
+        if other not in (primary, home):
+            run.world.cut(primary, other)
+            run.world.cut(home, other)
+    return run.world.heal
+
+
+def cut_home_from_primary(run):
+    """The home alone loses the primary."""
+    run.world.cut(run.home().name, run.group.leader().name)
+    return run.world.heal
+
+
+def freeze_primary_briefly(run):
+    """The primary stops for less than the suspicion time."""
+    name = run.group.leader().name
+    run.group.freeze(name)
+    run.world.clock.after(0.25, run.group.thaw, name)
+    return lambda: None
+
+
+def freeze_primary(run):
+    """The primary stops, is replaced, and goes on unaware."""
+    name = run.group.leader().name
+    run.group.freeze(name)
+    return lambda: run.group.thaw(name)
+
+
+def one_replica_behind(run):
+    """One replica falls far behind."""
+    server = run.group.servers[replicas(run)[0]]
+    server.ship_lag = server.apply_lag = 20.0
+    return lambda: clear_lag([server])
+
+
+def all_replicas_behind(run):
+    """All replicas receive late: nothing can be confirmed."""
+    servers = [run.group.servers[name] for name in replicas(run)]
+    for server in servers:
+        server.ship_lag = 20.0
+    return lambda: clear_lag(servers)
+
+
+def all_replicas_apply_late(run):
+    """All replicas receive in time but show data late."""
+    servers = [run.group.servers[name] for name in replicas(run)]
+    for server in servers:
+        server.apply_lag = 5.0
+    return lambda: clear_lag(servers)
+
+
+def kill_home(run):
+    """The home dies and a new process takes its place."""
+    host = run.home()
+    host.kill()
+
+    def restart():
+        host.boot()
+        run.world.platform.follow(host)
+
+    return restart
+
+
+def freeze_home(run):
+    """The home stops past its time and goes on unaware."""
+    host = run.home()
+    host.freeze()
+    return host.thaw
+
+
+def platform_down(run):
+    """The platform does not answer."""
+    run.world.platform.down = True
+
+    def up():
+        run.world.platform.down = False
+
+    return up
+
+
+def platform_slow(run):
+    """The platform answers seconds late."""
+    run.world.platform.slow = 2.5
+
+    def fast():
+        run.world.platform.slow = 0.0
+
+    return fast
+
+
+def list_misses_home(run):
+    """The instance list leaves out a live daemon."""
+    run.world.list_instances(without=(run.home().name,))
+    return run.world.list_instances
+
+
+def list_keeps_dead_home(run):
+    """The home is dead but the list goes on naming it."""
+    return kill_home(run)
+
+
+def silent_connections(run):
+    """The home's open connections to the primary go silent for good."""
+    run.home().mute(run.group.leader().name)
+    return lambda: None
+
+
+def silent_peer_link(run):
+    """The home hears no other daemon, nor they it."""
+    home = run.home().name
+    for other in run.world.hosts:
+        if other != home:
+            run.world.cut(home, other)
+    return run.world.heal
+
+
+def racing_operators(run):
+    """Two operators commit different manifests at once; one answer is lost."""
+    platform = run.world.platform
+    version = platform.specs["grid"].version
+    platform.lose_answers = 1
+    for slots in (4, 6):
+        platform.put(
+            lambda number, slots=slots: make_spec(version=number, slots=slots),
+            expect=version,
+            writer=f"operator-{slots}",
+        )
+    return lambda: None
+
+
+def upstream_leaves(run):
+    """The instance list marks the primary as leaving."""
+    name = run.group.leader().name
+    run.world.list_instances(leaving=(name,))
+    run.checker.leaving(name)
+    return lambda: None
+
+
+def primary_and_home(run):
+    """The primary and the home die together."""
+    heal_primary, heal_home = kill_primary(run), kill_home(run)
+
+    def heal():
+        heal_primary()
+        heal_home()
+
+    return heal
+
+
+def primary_twice(run):
+    """The primary dies, and so does its successor."""
+    first = kill_primary(run)
+    later = []
+
+    def again():
+        leader = run.group.leader()
+        if leader is not None and not run.group.servers[leader.name].dead:
+            first()
+            later.append(kill_primary(run))
+
+    run.world.clock.after(1.5, again)
+
+    def heal():
+        first()
+        for step in later:
+            step()
+
+    return heal
+
+
+def primary_while_platform_down(run):
+    """The primary dies during an outage of the platform."""
+    heal_primary, heal_platform = kill_primary(run), platform_down(run)
+
+    def heal():
+        heal_primary()
+        heal_platform()
+
+    return heal
+
+
+def partition_while_primary_silent(run):
+    """The home's connections go silent while it is cut from its peers."""
+    silent_connections(run)
+    return silent_peer_link(run)
+
+
+def replicas(run):
+    """The names of the members that do not lead."""
+    leader = run.group.leader()
+    return [name for name in run.group.servers if leader is None or name != leader.name]
+
+
+def clear_lag(servers):
+    """Replicas keep up again."""
+    for server in servers:
+        server.ship_lag = server.apply_lag = 0.0
+
+
+FAULTS = (
+    kill_primary,
+    cut_primary_from_group,
+    cut_primary_from_daemons,
+    partition_primary_with_one_daemon,
+    cut_home_from_primary,
+    freeze_primary_briefly,
+    freeze_primary,
+    one_replica_behind,
+    all_replicas_behind,
+    all_replicas_apply_late,
+    kill_home,
+    freeze_home,
+    platform_down,
+    platform_slow,
+    list_misses_home,
+    silent_connections,
+    silent_peer_link,
+    racing_operators,
+    upstream_leaves,
+    primary_and_home,
+    primary_twice,
+    primary_while_platform_down,
+    partition_while_primary_silent,
+)
+
+
+# Steps: each says what leads up to it and which call reaches it.
+
+
+@dataclass(frozen=True)
+class Step:
+    """Where in a request's or a change's life the fault strikes."""
+
+    name: str
+    hook: str = ""
+    kind: type = object
+    before: Callable = lambda run: None
+
+
+def lose_primary(run):
+    """What leads to an election."""
+    run.group.kill(run.group.leader().name)
+
+
+def drain_home(run):
+    """What leads to a drain."""
+    run.home().feed(DrainAsked())
+
+
+def apply_manifest(run):
+    """What leads to a change of configuration."""
+    platform = run.world.platform
+    version = platform.specs["grid"].version
+    platform.put(
+        lambda number: make_spec(version=number, slots=4),
+        expect=version,
+        writer="operator",
+    )
+
+
+STEPS = (
+    Step("before a write is sent", "before_send", actions.Write),
+    Step("write sent", "sent", actions.Write),
+    Step("write running", "running", actions.Write),
+    Step("write committed, unanswered", "committed", actions.Write),
+    Step("write answered, unconfirmed", "answered", actions.Write),
+    Step("read running", "running", actions.Read),
+    Step("in a transaction", "answered", actions.TxRun),
+    Step("commit sent", "sent", actions.TxCommit),
+    Step("commit done, unanswered", "committed", actions.TxCommit),
+    Step("during the fence", "sent", actions.Fence, lose_primary),
+    Step("between fence and promotion", "before_send", actions.Promote, lose_primary),
+    Step("promoted, nobody knows", "answered", actions.Promote, lose_primary),
+    Step("during a drain", before=drain_home),
+    Step("during an apply", before=apply_manifest),
+)
+
+
+@dataclass
+class Cell:
+    """The outcome of one fault at one step."""
+
+    step: Step
+    fault: Callable
+    reached: bool
+    promises: list
+    acks: int
+    violations: list
+
+
+def run_cell(step, fault, *, seed=7, **options):
+    """Run one cell and tell what held."""
+    run = scenario.start(seed=seed, **options)
+    healing = []
+
+    def strike(call=None):
+        if healing or (call and not isinstance(call.action, step.kind)):
+            return
+        run.world.hooks.clear()
+        healing.append(fault(run))
+
+    step.before(run)
+    if step.hook:
+        run.world.hooks[step.hook] = strike
+        run_until_struck(run, healing)
+    else:
+        strike()
+    acks = len(run.checker.acks)
+    run.world.run(HEAL_AFTER)
+    for heal in healing:
+        heal()
+    if step.before is lose_primary:
+        for name, server in run.group.servers.items():
+            if server.dead:
+                run.group.revive(name)
+    run.world.run(AFTER_HEAL)
+    acks = len(run.checker.acks) - acks
+    run.stop()
+    return Cell(
+        step=step,
+        fault=fault,
+        reached=bool(healing),
+        promises=run.checker.promises,
+        acks=acks,
+        violations=run.checker.violations,
+    )
+
+
+def run_until_struck(run, healing):
+    """Let time pass until the step is reached, within a bound."""
+    for _ in range(int(STEP_LIMIT / 0.1)):
+        if healing:
+            return
+        run.world.run(0.1)
+
+
+def title(function):
+    """A fault's name as people read it: its docstring's sentence."""
+    return function.__doc__.strip().rstrip(".")
+
+
+def write_document(cells):
+    """Write the matrix as docs/fault-matrix.md."""
+    lines = [
+        "# Fault matrix",
+        "",
+        "Written by `python -m tests.matrix`. Each cell is a run in virtual time: three",
+        "daemons, one group of three, four callers that write, read and transact while",
+        "the fault strikes at the step; after three seconds it heals, and all promises",
+        "of tests/invariants.py are checked. `ok N`: all held, N writes acknowledged",
+        "between the fault and the end of the callers' work. `-`: the step did not",
+        "occur under the seed. A number or letter: the promise that was broken.",
+        "",
+        "| fault | " + " | ".join(step.name for step in STEPS) + " |",
+        "|---" * (len(STEPS) + 1) + "|",
+    ]
+    for fault in FAULTS:
+        row = [describe(cells[(step.name, fault.__name__)]) for step in STEPS]
+        lines.append(f"| {title(fault)} | " + " | ".join(row) + " |")
+    lines += ["", *NOT_PROVED]
+    DOC.write_text("\n".join(lines) + "\n")
+
+
+NOT_PROVED = (
+    "## Not proved, not possible",
+    "",
+    "- A caller's own connection going silent: the proxy cannot tell it from a caller",
+    "  that thinks; its answer waits in the socket and the key settles the rest.",
+    "- The platform's own loss of an accepted object: it is the platform's promise.",
+    "- Byzantine upstreams, and a group whose majority loses its log: the ledger and",
+    "  the fence rest on a majority that keeps what it has received.",
+    "- A change of the group's members during a failover: the command refuses more",
+    "  than one at a time, the step itself is not in the matrix.",
+)
+
+
+def describe(cell):
+    """A cell's entry in the table."""
+    if not cell.reached:
+        return "-"
+    return ", ".join(cell.promises) or f"ok {cell.acks}"
+
+
+def main():
+    """Run all cells and write the document; exits 1 if a promise broke."""
+    cells = {}
+    for fault in FAULTS:
+        for step in STEPS:
+            cell = run_cell(step, fault)
+            cells[(step.name, fault.__name__)] = cell
+            print(f"{fault.__name__} / {step.name}: {describe(cell)}", flush=True)
+            for violation in cell.violations[:2]:
+                print(f"    {violation}")
+    write_document(cells)
+    return int(any(cell.promises for cell in cells.values()))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -19,7 +19,8 @@
 from mysql_mimic import MysqlServer, Session
 from mysql_mimic.errors import MysqlError
 
-from tests.standins.grouplog import Entry, Executed, Member, MemberError, run_sql
+from tests.standins.grouplog import Entry
+from tests.standins.sqlmember import Executed, MemberError, SqlMember, run_sql
 
 HEARTBEAT = 0.05
 RECONNECT = 0.1
@@ -46,7 +47,7 @@
     """One member as a process: SQL sessions, shipping, faults."""
 
     def __init__(self, cfg):
-        self.member = Member(
+        self.member = SqlMember(
             name=cfg["id"], schema=cfg.get("schema", ""), primary=cfg["primary"]
         )
         self.member.follows = cfg.get("follows", "")
@@ -164,7 +165,7 @@
         elif name == "gypsum_promote":
             member.promote(int(args[0]))
         elif name == "gypsum_follow":
-            member.follow(int(args[0]), args[1])
+            member.follow(int(args[0]), args[1], time.monotonic())
         elif name == "test_lag":
             self.ship_lag = float(args[0]) / 1000
             self.apply_lag = float(args[1]) / 1000
@@ -290,13 +291,13 @@
 
 def pack(entry):
     """An entry as JSON."""
-    return [entry.term, [[item.sql, item.affected] for item in entry.statements]]
+    return [entry.term, [[item.sql, item.affected] for item in entry.content]]
 
 
 def unpack(data):
     """An entry from JSON."""
     statements = [Executed(sql=sql, affected=count) for sql, count in data[1]]
-    return Entry(term=data[0], statements=statements)
+    return Entry(term=data[0], content=statements)
 
 
 async def main(path):
