A commit whose term ended is settled, never run again

Cause: a commit that waited for its majority when the primary was replaced was queued again as a commit; its transaction no longer existed, the answer was 'not run', and the commit had in fact reached the new primary. Ruled out: loss of the ledger row at the promotion (the row was there), and the entry's retry (one daemon only was involved). Change: such a commit asks the ledger instead; a failed attempt restores what was known before it rather than assuming that nothing ran.

--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -692,7 +692,7 @@
             self.abort(tx)
         if self.view.primary is not None:
             for job in self.writes.take_stranded():
-                self.queue_primary(job, first=True)
+                self.run_again(job)
 
     def outdated(self, operation):
         """Tell whether an operation runs at a primary that leads no more."""
@@ -984,8 +984,7 @@
             self.refuse(job, Reason.TRANSACTION_LOST, detail, peer=operation.upstream)
             return
         if job.request.verb is Verb.COMMIT:
-            self.transactions.drop(job.request.tx)
-            self.settle(job)
+            self.run_again(job)
             return
         if not self.budget.withdraw():
             self.refuse(
@@ -999,6 +998,18 @@
         if job.is_read:
             self.place_read(job)
             return
+        self.run_again(job)
+
+    def run_again(self, job):
+        """Queue a job whose first attempt may have taken effect.
+
+        A write runs again under its key. A commit cannot: its transaction died
+        with its connection, so only the ledger can tell what became of it.
+        """
+        if job.request.verb is Verb.COMMIT:
+            self.transactions.drop(job.request.tx)
+            self.settle(job)
+            return
         self.queue_primary(job, first=True)
 
     def transaction_failed(self, operation, event):
@@ -1020,7 +1031,7 @@
         if unclear and event.reason is None:
             self.settle(job)
             return
-        job.maybe_run = False
+        job.maybe_run = operation.maybe_run_before
         if event.stale:
             self.lost_claim(operation.upstream)
         reason = event.reason or Reason.TRANSACTION_LOST
