Open transactions outlive a move of their home; links dial without a race

Cause: a commit that found another daemon's claim gave up, and the claim moves whenever another daemon becomes home (list changed, drain). Two daemons that dialled each other at once each gave up their own link for the other's, so both closed, and requests were refused although every daemon was well. Change: such a commit claims the group back and goes on in its open transaction; a dialling link is never given up for an incoming one; an entry tries a daemon whose link has just broken before it refuses. Also: process tests under signals, silent sockets and lost answers, the operator's command, bad input; outcomes that cannot be learned are told as unknown; the claim counts only once its own answer is in.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core model platform upstream links daemon cli
 
-.PHONY: setup test lint format demo bench fuzz capacity clean
+.PHONY: setup test lint format demo bench fuzz matrix capacity clean
 
 setup: $(STAMP)
 
@@ -22,7 +22,7 @@
 	$(VENV)/bin/ruff check --fix .
 
 test: lint
-	$(PY) -m pytest -q
+	$(PY) -m pytest -q -n 4 --dist loadgroup
 
 demo: setup
 	$(PY) demo/run.py
@@ -33,6 +33,9 @@
 fuzz: setup
 	GYPSUM_FUZZ=1 $(PY) -m pytest -q tests/test_stateful.py
 
+matrix: setup
+	$(PY) -m tests.matrix
+
 capacity: setup
 	$(PY) -m bench.capacity
 
--- a/packages/cli/gypsum_cli/status.py
+++ b/packages/cli/gypsum_cli/status.py
@@ -1,7 +1,7 @@
 """`gypsumhitch status`: which version is in force where?"""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import cappa
 
@@ -56,5 +56,5 @@
     """Options of `status`."""
 
     platform: PlatformUrl
-    daemon: OperatorAddresses
+    daemon: OperatorAddresses = field(default_factory=list)
     json: AsJson = False
--- a/packages/core/gypsum_core/entry.py
+++ b/packages/core/gypsum_core/entry.py
@@ -64,7 +64,12 @@
         self.refuse(request, Reason.BAD_REQUEST, problem)
 
     def refuse(self, request, reason, detail, *, retry_after=0.0, unclear=False):
-        """Answer that a request was not run, or that this is not known."""
+        """Answer that a request was not run, or that this is not known.
+
+        Who asks for an outcome and does not learn it knows nothing: "not run" would
+        speak of the write that the key stands for.
+        """
+        unclear = unclear or request.verb is Verb.OUTCOME
         self.reply(
             Answer(
                 request=request.id,
@@ -103,17 +108,19 @@
         self.dispatch(flight, target)
 
     def next_target(self, flight):
-        """The first usable daemon of the order that was not tried yet."""
-        for daemon in self.office.order(flight.request.database):
-            if daemon in flight.tried:
-                continue
-            if daemon == self.ctx.daemon:
-                if self.ctx.draining:
-                    continue
-                return daemon
-            if self.peers.usable(daemon):
+        """The first usable daemon of the order that was not tried yet.
+
+        When none is, the first that was not tried: a link that broke a moment ago
+        may be open again, and nothing is lost by asking.
+        """
+        order = self.office.order(flight.request.database)
+        fresh = [name for name in order if name not in flight.tried]
+        if self.ctx.draining:
+            fresh = [name for name in fresh if name != self.ctx.daemon]
+        for daemon in fresh:
+            if daemon == self.ctx.daemon or self.peers.usable(daemon):
                 return daemon
-        return ""
+        return fresh[0] if fresh else ""
 
     def forward_in_transaction(self, flight):
         """Send a statement to the daemon that holds its transaction's connection."""
--- a/packages/core/gypsum_core/events.py
+++ b/packages/core/gypsum_core/events.py
@@ -115,12 +115,14 @@
 
     `sent` is False when it provably had no effect (refused, or rolled back).
     `reason` is set when the upstream itself refused for good. `stale` says that
-    the fence or claim guarding the action no longer holds. `silent` says that
-    no answer came in time, as opposed to an error.
+    the upstream is no primary any more, `claim_lost` that the group's claim names
+    another daemon; a transaction then is still open. `silent` says that no answer
+    came in time, as opposed to an error.
     """
 
     sent: bool
     detail: str
     reason: Reason | None = None
     stale: bool = False
+    claim_lost: bool = False
     silent: bool = False
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -6,6 +6,7 @@
 
 from gypsum_core import actions
 from gypsum_core.actions import Abandon, DropConnections, Probe, Warm
+from gypsum_core.claim import ClaimKeeper
 from gypsum_core.events import Failed, Ran, Settled, StatusKnown
 from gypsum_core.failover import PART as FAILOVER_PART
 from gypsum_core.failover import Failover
@@ -99,7 +100,7 @@
         self.jobs = {}
         self.operations = {}
         self.probing = {}
-        self.claiming = False
+        self.claim = ClaimKeeper(ctx=ctx, view=self.view, recent=self.recent)
         self.round_at = float("-inf")
         self.round_set = False
         self.active = False
@@ -109,17 +110,6 @@
 
     # Life
 
-    @property
-    def holder(self):
-        """The name under which this daemon claims the group."""
-        return f"{self.ctx.daemon}/{self.ctx.incarnation}"
-
-    @property
-    def claimed(self):
-        """Tell whether the primary's claim row names us, as last seen."""
-        status = self.view.status(self.view.primary) if self.view.primary else None
-        return status is not None and status.claim == self.holder
-
     def activate(self):
         """Start polling the group."""
         if self.active:
@@ -283,7 +273,7 @@
 
     def place_read(self, job):
         """Queue a read where it may lawfully run, or wait for knowledge."""
-        placement = self.reads.place(job, self.claimed)
+        placement = self.reads.place(job, self.claim.held)
         if placement.place is Place.REPLICA:
             lanes = [self.lanes[name] for name in placement.upstreams]
             slots = sum(lane.slots for lane in lanes)
@@ -368,7 +358,7 @@
             if job.closed:
                 continue
             tried += 1
-            placement = self.reads.place(job, self.claimed)
+            placement = self.reads.place(job, self.claim.held)
             if placement.place is not Place.REPLICA:
                 self.place_read(job)
                 continue
@@ -404,9 +394,9 @@
             if job.is_read:
                 self.start_primary_read(job, primary)
                 continue
-            if not self.claimed and not job.settling:
+            if not self.claim.held and not job.settling:
                 self.put_back(job)
-                self.claim()
+                self.claim_group()
                 return
             self.start_at_primary(job, primary)
 
@@ -419,7 +409,7 @@
 
     def start_primary_read(self, job, primary):
         """Run a read at the primary, unless its proof has become stale."""
-        placement = self.reads.place(job, self.claimed)
+        placement = self.reads.place(job, self.claim.held)
         if placement.place is Place.PRIMARY:
             job.why_primary = placement.why
             self.start_read(job, primary)
@@ -479,7 +469,7 @@
                 primary,
                 tx=request.tx,
                 row=ledger_row(job),
-                holder=self.holder,
+                holder=self.claim.holder,
             )
         else:
             self.start(
@@ -489,7 +479,7 @@
                 primary,
                 statement=request.statement,
                 row=ledger_row(job),
-                holder=self.holder,
+                holder=self.claim.holder,
             )
 
     def begin(self, job, primary):
@@ -628,18 +618,17 @@
         self.round_at = self.ctx.now
         self.poll_once()
 
-    def claim(self):
+    def claim_group(self):
         """Make ourselves the one daemon whose writes the group takes."""
-        if self.claiming or self.view.primary is None:
+        if self.claim.running or self.view.primary is None:
             return
-        self.claiming = True
         self.launch(
             actions.Claim(
                 op=self.ctx.next_op(),
                 database=self.spec.name,
                 upstream=self.view.primary,
                 timeout=self.ctx.tuning.verb_timeout,
-                holder=self.holder,
+                holder=self.claim.begin(),
             )
         )
 
@@ -669,21 +658,20 @@
 
     def place_again(self, job):
         """Place a waiting read unless its bounded wait still runs."""
-        placement = self.reads.place(job, self.claimed)
+        placement = self.reads.place(job, self.claim.held)
         catching_up = job.step == f"wait_{Place.CATCH_UP}" and (
             placement.place is Place.PRIMARY
         )
         stuck = placement.place in (Place.ROUND, Place.STUCK)
         if catching_up or stuck:
             self.awaiting.append(job)
-            if stuck and not self.claimed and job.request.session is None:
-                self.claim()
+            if stuck and not self.claim.held and job.request.session is None:
+                self.claim_group()
             return
         self.place_read(job)
 
     def primary_changed(self):
         """Another primary or term is in force: nothing of the old one counts."""
-        self.claiming = False
         for operation in list(self.operations.values()):
             if operation.job and self.outdated(operation):
                 self.take_back(operation)
@@ -744,9 +732,7 @@
         """A status came back: from a probe or a group verb."""
         self.answer_asker(operation, heard=True)
         if operation.work is Work.CLAIM:
-            self.claiming = False
-            if status.claim == self.holder:
-                self.recent.reset(status.log_end)
+            self.claim.answered(status)
         if operation.work is Work.PROBE and operation.fresh:
             self.found_silent_connections(operation.upstream)
         self.learn(status, operation.sent_at)
@@ -934,7 +920,7 @@
         """An operation failed: decide whether to answer, retry or suspect."""
         self.answer_asker(operation, heard=False)
         if operation.work is Work.CLAIM:
-            self.claiming = False
+            self.claim.failed()
             self.doubt(operation.upstream)
         if operation.work in (Work.FENCE, Work.PROMOTE):
             self.failover.verb_failed(operation.upstream, operation.term)
@@ -944,7 +930,7 @@
             return
         if event.reason is not None:
             self.failover.heard(operation.upstream)
-        elif not event.stale:
+        elif not event.stale and not event.claim_lost:
             self.doubt(operation.upstream)
         if operation.work in (Work.TX_RUN, Work.TX_COMMIT):
             self.transaction_failed(operation, event)
@@ -958,7 +944,7 @@
             self.ctx.emit(
                 DropConnections(database=self.spec.name, upstream=operation.upstream)
             )
-        if event.stale:
+        if event.stale or event.claim_lost:
             self.lost_claim(operation.upstream)
         if not event.sent:
             job.maybe_run = operation.maybe_run_before
@@ -971,10 +957,7 @@
 
     def lost_claim(self, upstream):
         """Another daemon claimed the group: look before claiming it back."""
-        seen = self.view.seen.get(upstream)
-        if seen:
-            status = replace(seen.status, claim="")
-            self.view.seen[upstream] = replace(seen, status=status)
+        self.claim.lost()
         self.probe(upstream)
 
     def try_again(self, operation, detail):
@@ -1022,6 +1005,9 @@
                 self.refuse(job, event.reason, event.detail, peer=operation.upstream)
             self.next_in_transaction(name)
             return
+        if tx and event.claim_lost and not job.closed:
+            self.commit_again(job, operation)
+            return
         if tx:
             self.transactions.drop(name)
             self.abort(tx)
@@ -1037,6 +1023,16 @@
         reason = event.reason or Reason.TRANSACTION_LOST
         self.refuse(job, reason, event.detail, peer=operation.upstream)
 
+    def commit_again(self, job, operation):
+        """Claim the group back and repeat a commit; its transaction is still open.
+
+        What goes wrong otherwise: another home takes over, in a drain or because
+        the list changed, and every transaction open here fails at its commit.
+        """
+        job.maybe_run = operation.maybe_run_before
+        self.lost_claim(operation.upstream)
+        self.urgent.append(job)
+
     # Ends
 
     def on_timer(self, timer):
@@ -1094,7 +1090,8 @@
 
     def refuse(self, job, reason, detail, retry_after=0.0, *, peer="", unclear=False):
         """Answer that a request was not run, or that this is not known."""
-        known = not job.maybe_run and not unclear
+        asks = job.request.verb is Verb.OUTCOME
+        known = not job.maybe_run and not unclear and not asks
         known = known or reason in (
             Reason.SQL_ERROR,
             Reason.KEY_REUSED,
--- a/packages/core/gypsum_core/homeboard.py
+++ b/packages/core/gypsum_core/homeboard.py
@@ -54,7 +54,7 @@
         active=home.active,
         primary=home.view.primary or "",
         term=home.view.term,
-        claimed=home.claimed,
+        claimed=home.claim.held,
         phase=home.failover.phase.value,
         vetoed=home.failover.vetoed,
         queued_replica=len(home.replica_queue) + len(home.held),
--- a/packages/daemon/gypsum_daemon/callers.py
+++ b/packages/daemon/gypsum_daemon/callers.py
@@ -47,31 +47,26 @@
         self.request_id = ""
         self.begun = time.monotonic()
 
-    def prepare(self):
-        """Refuse a body that is too large before it is read."""
-        length = self.request.headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self.desk.max_body:
-            self.refuse_body()
-
     def data_received(self, chunk):
-        """Collect the body; a chunked one is bounded as it comes."""
-        if self._finished:
-            return
+        """Collect the body up to the bound, discard what is over it.
+
+        What goes wrong otherwise: an answer before the end of the body closes the
+        connection under the caller's hands, and the caller sees a reset instead of
+        the reason.
+        """
         self.size += len(chunk)
         if self.size > self.desk.max_body:
-            self.refuse_body()
+            self.chunks.clear()
             return
         self.chunks.append(chunk)
 
-    def refuse_body(self):
-        """Answer 413 and close, so that the rest is not read."""
-        problem = Problem(
-            status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            reason=str(Reason.BAD_REQUEST),
-            detail=f"the body is larger than {self.desk.max_body} bytes",
-        )
-        self.set_header("Connection", "close")
-        self.write_problem(problem)
+    def check_size(self):
+        """Refuse a body that was over the bound."""
+        if self.size > self.desk.max_body:
+            raise bad_request(
+                f"the body is larger than {self.desk.max_body} bytes",
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
 
     def body(self, model):
         """The body as a checked model."""
@@ -83,6 +78,7 @@
     async def answer(self, make_request, *args):
         """Build a request, have it answered, write the answer."""
         try:
+            self.check_size()
             self.desk.check_ready()
             req = make_request(*args)
             self.request_id = req.id
--- a/packages/daemon/gypsum_daemon/main.py
+++ b/packages/daemon/gypsum_daemon/main.py
@@ -21,7 +21,7 @@
 from gypsum_platform.client import PlatformClient
 
 PART = "daemon"
-STREAMED_BODY_LIMIT = 1 << 40
+DISCARDED_BODY_LIMIT = 1 << 28
 GOODBYE_SECONDS = 0.2
 
 
@@ -53,7 +53,7 @@
     metrics = Metrics()
     desk = Desk(shell=shell, metrics=metrics, settings=settings)
     caller_server = HTTPServer(
-        callers.make_application(desk), max_body_size=STREAMED_BODY_LIMIT
+        callers.make_application(desk), max_body_size=DISCARDED_BODY_LIMIT
     )
     operator_server = HTTPServer(operators.make_application(shell, metrics))
     ports = Ports(
--- a/packages/links/gypsum_links/links.py
+++ b/packages/links/gypsum_links/links.py
@@ -59,7 +59,6 @@
         self.address_of = address_of
         self.report = report
         self.links = {}
-        self.incoming = set()
         self.server = None
         self.closing = False
 
@@ -88,28 +87,19 @@
         peer = socket.request.headers.get(DAEMON_HEADER, "")
         if not peer:
             return
-        link = self.links.get(peer)
-        if link is None or link.socket is None:
-            link = self.adopt(peer, socket)
-        self.incoming.add(socket)
-        try:
-            await self.receive(peer, socket)
-        finally:
-            self.incoming.discard(socket)
-            if link.socket is socket:
-                self.drop(link)
+        if peer not in self.links:
+            self.adopt(peer, socket)
+        await self.receive(peer, socket)
 
     def adopt(self, peer, socket):
-        """Use a link that the peer opened for our own messages too."""
-        old = self.links.get(peer)
+        """Use a link that the peer opened for our own messages too.
+
+        Only when we have none: two daemons that dial each other at the same time
+        would each give up their own link for the other's, and both would close.
+        """
         link = Link(peer=peer, socket=socket)
-        if old is not None and old.socket is None:
-            # We are dialling at the same time; the queue moves over.
-            link.outbox = old.outbox
-            old.task.cancel()
         link.task = asyncio.ensure_future(self.write_out(link))
         self.links[peer] = link
-        return link
 
     def send(self, peer, message):
         """Queue a message; a link that cannot take it counts as lost."""
--- a/packages/upstream/gypsum_upstream/executor.py
+++ b/packages/upstream/gypsum_upstream/executor.py
@@ -121,15 +121,14 @@
     def failure(self, action, exc, progress) -> UpstreamEvent:
         """Say truthfully what an error means for the action."""
         silent = isinstance(exc, TimeoutError)
+        claim_lost = isinstance(exc, ClaimLost)
         kind = classify(exc)
         reason = None
         if isinstance(exc, Refused):
             reason = exc.reason
-        elif kind is ErrorClass.STATEMENT and not isinstance(exc, ClaimLost):
+        elif kind is ErrorClass.STATEMENT:
             reason = Reason.SQL_ERROR
-        if isinstance(exc, ClaimLost):
-            kind = ErrorClass.STALE
-        unclear = progress.commit_sent and kind is ErrorClass.LOST
+        unclear = progress.commit_sent and kind is ErrorClass.LOST and not claim_lost
         return Failed(
             op=action.op,
             database=action.database,
@@ -137,6 +136,7 @@
             detail="no answer in time" if silent else describe(exc),
             reason=reason,
             stale=kind is ErrorClass.STALE,
+            claim_lost=claim_lost,
             silent=silent,
         )
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -131,6 +131,7 @@
             daemon.wait_ready()
         self.publish_instances()
         self.write_manifest()
+        self.wait_agreed()
 
     def spawn(self, name, args):
         """Start a process."""
@@ -286,6 +287,15 @@
                 raise RuntimeError("the manifest did not come into force")
             time.sleep(0.1)
 
+    def wait_agreed(self, limit=START_LIMIT):
+        """Wait until all daemons have the same list."""
+        end = time.monotonic() + limit
+        names = set(self.daemons)
+        while any(set(self.explain(name)["order"]) != names for name in names):
+            if time.monotonic() > end:
+                raise RuntimeError("the daemons do not agree on the list")
+            time.sleep(0.05)
+
     def status(self):
         """The operator's status command over all live daemons."""
         live = [item for item in self.daemons.values() if item.popen.poll() is None]
@@ -332,6 +342,10 @@
         """What a daemon says of the database."""
         return call(self.operator_url(daemon, f"/explain/{self.database}")).body
 
+    def metrics(self, daemon):
+        """A daemon's metrics."""
+        return call(self.operator_url(daemon, "/metrics")).body["text"]
+
     def home(self):
         """The database's home and its board."""
         order = self.explain(next(iter(self.live_daemons())))["order"]
--- a/tests/fakes/group.py
+++ b/tests/fakes/group.py
@@ -6,7 +6,14 @@
 from gypsum_core import actions
 from gypsum_core.events import Failed, Ran, Settled, StatusKnown
 from gypsum_core.records import Result
-from tests.fakes.member import FakeMember, OpenTx, Refused, SetClaim, Stale
+from tests.fakes.member import (
+    ClaimLost,
+    FakeMember,
+    OpenTx,
+    Refused,
+    SetClaim,
+    Stale,
+)
 
 HEARTBEAT = 0.05
 
@@ -169,6 +176,9 @@
         except Stale as exc:
             call.fail(sent=False, detail=str(exc), stale=True)
             return
+        except ClaimLost as exc:
+            call.fail(sent=False, detail=str(exc), claim_lost=True)
+            return
         except Refused as exc:
             call.fail(sent=False, detail="refused", reason=exc.reason)
             return
@@ -200,7 +210,8 @@
         if isinstance(action, actions.TxRun):
             return Ran(**ids, result=self.run_in_tx(server, action))
         if isinstance(action, actions.TxCommit):
-            result, position = member.commit_tx(server.txs.pop(action.tx), action)
+            result, position = member.commit_tx(server.txs[action.tx], action)
+            del server.txs[action.tx]
             return Ran(**ids, result=result, position=position)
         self.execute_verb(member, action)
         return StatusKnown(**ids, status=member.status(now))
--- a/tests/fakes/host.py
+++ b/tests/fakes/host.py
@@ -121,6 +121,7 @@
         self.life += 1
         for call in list(self.calls.values()):
             call.ignore()
+        self.world.lose_callers(self.name)
         for group in self.world.groups.values():
             group.forget_transactions(self.name)
         for other in self.world.hosts.values():
--- a/tests/fakes/member.py
+++ b/tests/fakes/member.py
@@ -10,7 +10,11 @@
 
 
 class Stale(Exception):
-    """The member is fenced, or the claim names another daemon."""
+    """The member is fenced."""
+
+
+class ClaimLost(Exception):
+    """The claim names another daemon."""
 
 
 class Refused(Exception):
@@ -130,7 +134,7 @@
         if not self.primary:
             raise Stale("not primary")
         if self.claim != holder:
-            raise Stale("claim lost")
+            raise ClaimLost("claim lost")
         key = (row.member, row.key)
         known = self.ledger.get(key)
         if known and known.state == DONE:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from gypsum_core.events import CallerRequest, PeerLost
-from gypsum_core.records import Mode, Request, Statement, Verb
+from gypsum_core.events import CallerGone, CallerRequest, PeerLost
+from gypsum_core.records import Answer, Mode, Outcome, Request, Statement, Verb
 from gypsum_core.spec import (
     DEFAULT_TUNING,
     DatabaseSpec,
@@ -20,6 +20,7 @@
 BETWEEN_DOMAINS = 0.001
 JITTER = 0.3
 REFUSED_AFTER = 0.002
+CLIENT_PATIENCE = 0.5
 
 KINDS = (
     KindSpec(name="status", mode=Mode.READ, max_age_ms=2000.0),
@@ -213,17 +214,33 @@
             deadline=self.clock.now + deadline,
             **fields,
         )
-        self.callers[name] = on_answer
+        self.callers[name] = (host, on_answer)
+        self.clock.after(deadline + CLIENT_PATIENCE, self.hang_up, name)
         self.hosts[host].feed(CallerRequest(request=request))
         return request
 
+    def hang_up(self, name):
+        """A caller loses its connection, or its patience: it knows nothing."""
+        waiting = self.callers.pop(name, None)
+        if waiting is None:
+            return
+        host, on_answer = waiting
+        self.hosts[host].feed(CallerGone(request=name))
+        on_answer(Answer(request=name, outcome=Outcome.UNKNOWN, detail="hung up"))
+
+    def lose_callers(self, host):
+        """A daemon died: its callers' connections break."""
+        for name, (other, _) in list(self.callers.items()):
+            if other == host:
+                self.clock.after(REFUSED_AFTER, self.hang_up, name)
+
     def replied(self, host, answer):
         """A daemon answers a caller."""
-        on_answer = self.callers.pop(answer.request, None)
+        waiting = self.callers.pop(answer.request, None)
         for observer in self.observers:
-            observer.answered(host, answer, on_answer is None)
-        if on_answer is not None:
-            on_answer(answer)
+            observer.answered(host, answer, waiting is None)
+        if waiting is not None:
+            waiting[1](answer)
 
     def run(self, seconds):
         """Let time pass."""
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from multiprocessing import Pool
 from pathlib import Path
 
 from gypsum_core import actions
@@ -12,6 +13,7 @@
 from tests import scenario
 from tests.fakes.world import make_spec
 
+WORKERS = 4
 HEAL_AFTER = 3.0
 AFTER_HEAL = 1.5
 STEP_LIMIT = 4.0
@@ -367,11 +369,9 @@
 
 
 @dataclass
-class Cell:
-    """The outcome of one fault at one step."""
+class Outcome:
+    """What came of one fault at one step."""
 
-    step: Step
-    fault: Callable
     reached: bool
     promises: list
     acks: int
@@ -406,9 +406,7 @@
     run.world.run(AFTER_HEAL)
     acks = len(run.checker.acks) - acks
     run.stop()
-    return Cell(
-        step=step,
-        fault=fault,
+    return Outcome(
         reached=bool(healing),
         promises=run.checker.promises,
         acks=acks,
@@ -472,14 +470,21 @@
     return ", ".join(cell.promises) or f"ok {cell.acks}"
 
 
+def run_named(job):
+    """Run one cell by the names of its step and fault."""
+    step_name, fault_name = job
+    step = next(item for item in STEPS if item.name == step_name)
+    return run_cell(step, globals()[fault_name])
+
+
 def main():
     """Run all cells and write the document; exits 1 if a promise broke."""
+    jobs = [(step.name, fault.__name__) for fault in FAULTS for step in STEPS]
     cells = {}
-    for fault in FAULTS:
-        for step in STEPS:
-            cell = run_cell(step, fault)
-            cells[(step.name, fault.__name__)] = cell
-            print(f"{fault.__name__} / {step.name}: {describe(cell)}", flush=True)
+    with Pool(WORKERS) as pool:
+        for job, cell in zip(jobs, pool.imap(run_named, jobs), strict=True):
+            cells[job] = cell
+            print(f"{job[1]} / {job[0]}: {describe(cell)}", flush=True)
             for violation in cell.violations[:2]:
                 print(f"    {violation}")
     write_document(cells)
--- a/tests/standins/sqlmember.py
+++ b/tests/standins/sqlmember.py
@@ -98,7 +98,14 @@
         return Transaction(base=base)
 
     def run_in(self, tx, sql):
-        """Run a statement inside a transaction."""
+        """Run a statement inside a transaction.
+
+        A statement that looks at the claim sees its newest state, as a locking
+        read does.
+        """
+        if "gypsum_claim" in sql:
+            holder = self.claim_holder()
+            tx.base.execute("UPDATE gypsum_claim SET holder = ?", (holder,))
         cursor = run_sql(tx.base, sql)
         if cursor.description is None:
             tx.statements.append(Executed(sql=sql, affected=cursor.rowcount))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -2,17 +2,11 @@
 
 import pytest
 
-from tests.cluster import Cluster
-
 INSERT = "INSERT INTO requests (applicant, status) VALUES (%s, 'filed')"
 COUNT = "SELECT COUNT(*) FROM requests WHERE applicant = %s"
 
 
-@pytest.fixture(scope="module")
-def cluster():
-    """A cluster that the tests of this module share; none breaks it."""
-    with Cluster() as started:
-        yield started
+pytestmark = pytest.mark.xdist_group("process")
 
 
 def test_write_shows_through_every_daemon(cluster):
--- /dev/null
+++ b/tests/test_process_faults.py
@@ -0,0 +1,261 @@
+"""Faults on real processes: signals, silent sockets, lost answers, restarts."""
+
+import signal
+import time
+
+import pytest
+
+from tests.cluster import Cluster
+from tests.load import COUNT, INSERT, Writers, check_once
+
+GAP_LIMIT = 20.0
+WORK = 1.0
+
+
+@pytest.fixture
+def cluster():
+    """A cluster of its own for each test."""
+    with Cluster() as started:
+        yield started
+
+
+def primary_of(cluster):
+    """The primary as the home sees it."""
+    return cluster.home()[1]["primary"]
+
+
+def wait_for(test, limit=GAP_LIMIT):
+    """Wait until something holds."""
+    end = time.monotonic() + limit
+    while not test():
+        assert time.monotonic() < end, "it did not come to hold in time"
+        time.sleep(0.05)
+
+
+def test_killed_primary_is_replaced_and_nothing_is_lost(cluster):
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        first = primary_of(cluster)
+        killed = time.monotonic()
+        cluster.upstreams[first].signal(signal.SIGKILL)
+        wait_for(lambda: any(by != first for _, _, by in writers.acked))
+        time.sleep(WORK)
+    assert writers.longest_gap(killed) < GAP_LIMIT
+    check_once(cluster, writers, "d0")
+
+
+def test_frozen_primary_is_replaced_and_follows_when_it_thaws(cluster):
+    """
+    Symptom it guards against: a primary that was stopped goes on as if it led.
+    Sequence: it stops; another is promoted; it goes on with its old connections.
+    Cause it would have: nobody fences the old one or makes it follow.
+    """
+    first = primary_of(cluster)
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        cluster.upstreams[first].signal(signal.SIGSTOP)
+        wait_for(lambda: any(by != first for _, _, by in writers.acked))
+        cluster.upstreams[first].signal(signal.SIGCONT)
+        time.sleep(WORK)
+    wait_for(lambda: follows_again(cluster, first))
+    check_once(cluster, writers, "d1")
+
+
+def follows_again(cluster, name):
+    """Tell whether a member takes part as a replica."""
+    _, board = cluster.home()
+    item = next(item for item in board["upstreams"] if item["id"] == name)
+    return item["promised"] == board["term"] and not item["primary"]
+
+
+def test_short_freeze_promotes_nobody(cluster):
+    first = primary_of(cluster)
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        cluster.upstreams[first].signal(signal.SIGSTOP)
+        time.sleep(0.15)
+        cluster.upstreams[first].signal(signal.SIGCONT)
+        time.sleep(2 * WORK)
+    assert cluster.home()[1]["term"] == 1
+    check_once(cluster, writers, "d2")
+
+
+def test_silent_connections_promote_nobody(cluster):
+    """
+    Symptom it guards against: a healthy primary is deposed.
+    Sequence: something between the ends forgets the open connections; they stay
+    open and silent; new ones work.
+    Cause it would have: silence of a connection taken for silence of the primary.
+    """
+    first = primary_of(cluster)
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        cluster.upstream_sql(first, "CALL test_mute()")
+        muted = time.monotonic()
+        wait_for(lambda: any(at > muted + 1.0 for at, _, _ in writers.acked))
+    assert cluster.home()[1]["term"] == 1
+    check_once(cluster, writers, "d0")
+
+
+def test_lost_commit_answer_runs_once(cluster):
+    """
+    Symptom it guards against: a submission stands twice.
+    Sequence: the commit takes effect; its answer never comes; the proxy tries again.
+    Cause it would have: the retry runs without looking into the ledger.
+    """
+    sql = INSERT + " /* lose */"
+    answer = cluster.query("d0", "submit", sql, ["lost"], Idempotency_Key="lost")
+    assert answer.status == 200, answer.body
+    assert answer.body["replayed"]
+    read = cluster.query("d1", "review", COUNT, ["lost"])
+    assert read.body.get("rows") == [[1]], read.body
+
+
+def test_killed_home_moves_on(cluster):
+    home = cluster.home()[0]
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        killed = time.monotonic()
+        cluster.daemons[home].signal(signal.SIGKILL)
+        wait_for(lambda: any(at > killed + WORK for at, _, _ in writers.acked))
+    check_once(cluster, writers, cluster.live_daemons()[0])
+
+
+def test_frozen_home_moves_on_and_returns(cluster):
+    home = cluster.home()[0]
+    with Writers(cluster, skip=[home]) as writers:
+        time.sleep(WORK)
+        cluster.daemons[home].signal(signal.SIGSTOP)
+        frozen = time.monotonic()
+        wait_for(lambda: any(at > frozen + WORK for at, _, _ in writers.acked))
+        cluster.daemons[home].signal(signal.SIGCONT)
+        time.sleep(2 * WORK)
+    check_once(cluster, writers, home)
+
+
+def test_drain_cuts_off_no_request(cluster):
+    """
+    Symptom it guards against: callers see resets during a rolling restart.
+    Sequence: the home gets SIGTERM while requests run and wait.
+    Cause it would have: sockets close before the last answer is written.
+    """
+    home = cluster.home()[0]
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        writers.skip.add(home)
+        cluster.daemons[home].signal(signal.SIGTERM)
+        assert cluster.daemons[home].popen.wait(GAP_LIMIT) == 0
+        time.sleep(WORK)
+    assert writers.resets == []
+    check_once(cluster, writers, cluster.live_daemons()[0])
+
+
+def begin(cluster, daemon):
+    """Open a transaction."""
+    body = {"kind": "plan", "member": "north"}
+    return cluster.post(daemon, "transactions", body).body["transaction"]
+
+
+def in_tx(cluster, daemon, tx, sql, params=()):
+    """Run a statement in a transaction."""
+    body = {"member": "north", "sql": sql, "params": list(params)}
+    return cluster.post(daemon, f"transactions/{tx}/query", body)
+
+
+def end_tx(cluster, daemon, tx, verb, **headers):
+    """End a transaction."""
+    return cluster.post(
+        daemon, f"transactions/{tx}/{verb}", {"member": "north"}, **headers
+    )
+
+
+def test_transaction_is_reachable_through_any_daemon(cluster):
+    tx = begin(cluster, "d0")
+    assert in_tx(cluster, "d1", tx, INSERT, ["in-tx"]).status == 200
+    seen = in_tx(cluster, "d2", tx, COUNT, ["in-tx"])
+    assert seen.body["rows"] == [[1]]
+    outside = cluster.query("d0", "review", COUNT, ["in-tx"])
+    assert outside.body["rows"] == [[0]]
+    done = end_tx(cluster, "d2", tx, "commit", Idempotency_Key="tx-1")
+    assert done.status == 200, done.body
+    again = end_tx(cluster, "d0", tx, "commit", Idempotency_Key="tx-1")
+    assert again.status == 200, again.body
+    after = cluster.query("d1", "status", COUNT, ["in-tx"])
+    assert after.body["rows"] == [[1]]
+
+
+def test_transaction_outlives_the_move_of_its_home(cluster):
+    """
+    Symptom: commits were refused with "the snapshot is outdated", or "claim lost".
+    Sequence: a transaction opens at one home; another daemon becomes home and
+    claims the group; the transaction commits at the first.
+    Cause: the commit gave up when it found another daemon's claim.
+    """
+    home = cluster.home()[0]
+    tx = begin(cluster, home)
+    assert in_tx(cluster, home, tx, INSERT, ["moved"]).status == 200
+    cluster.publish_instances(leaving=[home])
+    wait_for(lambda: cluster.home()[0] != home)
+    wrote = cluster.query(home, "submit", INSERT, ["other"], Idempotency_Key="o")
+    assert wrote.status == 200, wrote.body
+    done = end_tx(cluster, home, tx, "commit", Idempotency_Key="moved")
+    assert done.status == 200, done.body
+    read = cluster.query(home, "status", COUNT, ["moved"])
+    assert read.body.get("rows") == [[1]], read.body
+
+
+def test_rolled_back_transaction_leaves_nothing(cluster):
+    tx = begin(cluster, "d1")
+    in_tx(cluster, "d1", tx, INSERT, ["rolled"])
+    assert end_tx(cluster, "d0", tx, "rollback").status == 200
+    read = cluster.query("d1", "review", COUNT, ["rolled"])
+    assert read.body["rows"] == [[0]]
+    assert end_tx(cluster, "d0", tx, "rollback").status == 409
+
+
+def test_transaction_of_another_member_is_not_found(cluster):
+    tx = begin(cluster, "d0")
+    body = {"member": "south", "sql": COUNT, "params": ["x"]}
+    answer = cluster.post("d0", f"transactions/{tx}/query", body)
+    assert answer.status == 409
+
+
+def test_lost_caller_is_rolled_back():
+    """
+    Symptom it guards against: a vanished caller's locks and rows stay for ever.
+    Sequence: a caller opens a transaction, writes, and is never heard of again.
+    Cause it would have: nothing ends a transaction but its caller.
+    """
+    with Cluster(tuning={"tx_idle": 0.5}) as cluster:
+        tx = begin(cluster, "d0")
+        in_tx(cluster, "d0", tx, INSERT, ["vanished"])
+        owner = tx.partition(".")[0]
+        wait_for(lambda: cluster.explain(owner)["home"]["transactions"] == 0)
+        answer = in_tx(cluster, "d0", tx, COUNT, ["vanished"])
+        assert answer.status == 409
+        read = cluster.query("d0", "review", COUNT, ["vanished"])
+        assert read.body["rows"] == [[0]]
+
+
+def test_daemon_starts_while_the_platform_is_down(cluster):
+    """
+    Symptom it guards against: a restart during an outage serves nobody, or serves
+    an old manifest.
+    Sequence: the platform goes down; a new daemon starts with seeds only.
+    Cause it would have: manifests come from the platform alone.
+    """
+    cluster.set_faults(down=True)
+    cluster.spawn_daemon(3).wait_ready()
+    wait_for(lambda: cluster.query("d3", "status", COUNT, ["x"]).status == 200)
+    wrote = cluster.query("d3", "submit", INSERT, ["outage"], Idempotency_Key="o1")
+    assert wrote.status == 200, wrote.body
+
+
+def test_failover_while_the_platform_is_down(cluster):
+    cluster.set_faults(down=True)
+    first = primary_of(cluster)
+    with Writers(cluster) as writers:
+        time.sleep(WORK)
+        cluster.upstreams[first].signal(signal.SIGKILL)
+        wait_for(lambda: any(by != first for _, _, by in writers.acked))
+    check_once(cluster, writers, "d0")
