--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -336,7 +336,12 @@
 
 def begin_drain(run):
     """What leads to a drain."""
-    run.home().feed(DrainAsked())
+    begin_drain_at(run.home())
+
+
+def begin_drain_at(host):
+    """Ask a daemon to shut down."""
+    host.feed(DrainAsked())
 
 
 def apply_manifest(run):
