Overload: refuse early by worth, nothing hopeless takes a slot, confirm at once

Cause: (1) admission counted all of a member's queue, also what a worthier request would pass; (2) after a failover the queue held what was about to expire, each took a slot and came too late; (3) the wait between looks at the replicas grew with the time a write had stood in the queue, not with the time since its commit. Ruled out for (3): the fair queue itself (the other member's queue held at most one). Change: a member's line is a sorted list, admission counts what is ahead, the last is refused when newer work pushes it out of time; a request that could not be answered any more is refused when its turn comes; confirmation counts from the commit. Reads hand out tokens too, replica lag is predicted from marks.

--- a/packages/core/gypsum_core/group.py
+++ b/packages/core/gypsum_core/group.py
@@ -4,7 +4,7 @@
 daemon's own monotonic clock: no clocks are compared between machines.
 """
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from dataclasses import dataclass
 
 from gypsum_core.records import Position, Status
@@ -53,6 +53,11 @@
         place = bisect_right(self.indexes, index)
         return self.times[place - 1] if place else None
 
+    def earliest_at_least(self, index, now):
+        """The first observation time whose index is at least `index`, or `now`."""
+        place = bisect_left(self.indexes, index)
+        return self.times[place] if place < len(self.times) else now
+
 
 class GroupView:
     """Statuses of one group, its primary, and proofs about freshness."""
@@ -164,6 +169,16 @@
             return float("-inf")
         return min(covered, verified)
 
+    def lag(self, upstream):
+        """Seconds by which a replica's data trailed the primary's when last seen."""
+        status = self.status(upstream)
+        if status is None:
+            return float("inf")
+        covered = self.marks.latest_covered(status.applied)
+        if covered is None:
+            return float("inf")
+        return max(0.0, self.seen_at(upstream) - covered)
+
     def confirmed(self, position, *, by):
         """Tell whether a majority of this very term holds a position.
 
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -30,12 +30,15 @@
 DEADLINE = "deadline"
 CATCH_UP = "catch_up"
 ROUND_GAP = 0.002
+CATCH_UP_GAP = 0.01
+CATCHING_UP = f"wait_{Place.CATCH_UP}"
 HELD_LIMIT = 32
 GONE_AFTER = 3.0
 RETRY_SOON = 1.0
 RETRY_BEHIND = 2.0
 FIRST_TRY_PART = 0.5
 WARM_SPARE = 2
+TIME_NEEDED = 1.5
 
 WORK_OF_ACTION = {
     actions.Probe: Work.PROBE,
@@ -223,8 +226,10 @@
             )
             return
         slots = self.lanes[self.view.primary].slots if self.view.primary else 1
-        if self.admit(job, self.primary_queue, slots, self.primary_service()):
+        service = self.primary_service()
+        if self.admit(job, self.primary_queue, slots, service):
             self.queue_primary(job)
+            self.trim(self.primary_queue, job.request.member, slots, service)
 
     def gone_for(self):
         """Seconds without a primary that answers."""
@@ -243,23 +248,65 @@
     def admit(self, job, queue, slots, service):
         """Refuse now what could not be answered in time; tell if it may wait."""
         member = job.request.member
-        weights = self.spec.weight_by_member
-        rivals = {name for name, line in queue.lines.items() if line.heap}
-        rivals.add(member)
-        total = sum(weights.get(name, 1.0) for name in rivals)
         wait = expected_wait(
-            ahead=queue.waiting(member),
-            share=weights.get(member, 1.0) / total,
+            ahead=queue.ahead_of(
+                member, worth=job.kind.worth, deadline=job.request.deadline
+            ),
+            share=queue.share(member),
             slots=slots,
             service=service,
         )
         late = self.ctx.now + wait > job.request.deadline
         if not late and len(queue) < self.ctx.tuning.queue_limit:
             return True
+        self.overloaded(job, wait)
+        return False
+
+    def overloaded(self, job, wait):
+        """Refuse a request that its member's queue leaves no time for."""
+        member = job.request.member
         self.refuse(
             job, Reason.OVERLOAD, f"{member}: queue is too long", retry_after=wait
         )
-        return False
+
+    def too_late(self, job, lane):
+        """Refuse a request that could not be answered any more; tell if so.
+
+        What goes wrong without it: after a failover the queue holds what is about
+        to expire, each such request takes a slot and is answered too late, and the
+        next one has expired meanwhile as well.
+        """
+        left = job.request.deadline - self.ctx.now
+        if job.maybe_run or job.request.tx or left >= TIME_NEEDED * lane.service:
+            return False
+        self.refuse(
+            job,
+            Reason.OVERLOAD,
+            "its turn came too late to answer in time",
+            retry_after=RETRY_SOON,
+        )
+        return True
+
+    def trim(self, queue, member, slots, service):
+        """Refuse what newer and worthier requests have pushed out of time.
+
+        What goes wrong without it: a request of little worth waits until its
+        deadline for a turn that never comes, and its caller learns nothing until
+        then.
+        """
+        while queue.waiting(member) > slots:
+            job = queue.last(member)
+            wait = expected_wait(
+                ahead=queue.waiting(member) - 1,
+                share=queue.share(member),
+                slots=slots,
+                service=service,
+            )
+            if job.maybe_run or self.ctx.now + wait <= job.request.deadline:
+                return
+            queue.drop_last(member)
+            if not job.closed:
+                self.overloaded(job, wait)
 
     def queue_primary(self, job, *, first=False):
         """Put a job into the primary's queue."""
@@ -285,6 +332,7 @@
                     worth=job.kind.worth,
                     deadline=job.request.deadline,
                 )
+                self.trim(self.replica_queue, job.request.member, slots, service)
             return
         if placement.place is Place.PRIMARY:
             job.why_primary = placement.why
@@ -366,6 +414,8 @@
             if upstream is None:
                 held.append(job)
                 continue
+            if self.too_late(job, self.lanes[upstream]):
+                continue
             self.start_read(job, upstream)
         held.extend(self.held)
         self.held = held
@@ -391,6 +441,8 @@
             if job.closed:
                 self.next_in_transaction(job.request.tx)
                 continue
+            if self.too_late(job, lane):
+                continue
             if job.is_read:
                 self.start_primary_read(job, primary)
                 continue
@@ -547,6 +599,7 @@
             term=self.view.term,
             job=job,
             as_of=self.view.as_of(upstream),
+            floor=self.reads.floor(job) if job.is_read else None,
             maybe_run_before=maybe_run_before,
         )
         self.lanes[upstream].enter()
@@ -609,7 +662,7 @@
         """
         if self.round_set:
             return
-        gap = ROUND_GAP if self.awaiting else self.writes.round_gap()
+        gap = self.round_gap()
         delay = max(0.0, self.round_at + gap - self.ctx.now)
         if delay > 0:
             self.round_set = True
@@ -618,6 +671,15 @@
         self.round_at = self.ctx.now
         self.poll_once()
 
+    def round_gap(self):
+        """Seconds between two rounds: short where callers wait for knowledge."""
+        if any(job.step != CATCHING_UP for job in self.awaiting):
+            return ROUND_GAP
+        gap = CATCH_UP_GAP if self.awaiting else float("inf")
+        if self.writes.unconfirmed:
+            gap = min(gap, self.writes.round_gap())
+        return gap
+
     def claim_group(self):
         """Make ourselves the one daemon whose writes the group takes."""
         if self.claim.running or self.view.primary is None:
@@ -659,9 +721,7 @@
     def place_again(self, job):
         """Place a waiting read unless its bounded wait still runs."""
         placement = self.reads.place(job, self.claim.held)
-        catching_up = job.step == f"wait_{Place.CATCH_UP}" and (
-            placement.place is Place.PRIMARY
-        )
+        catching_up = job.step == CATCHING_UP and (placement.place is Place.PRIMARY)
         stuck = placement.place in (Place.ROUND, Place.STUCK)
         if catching_up or stuck:
             self.awaiting.append(job)
@@ -819,7 +879,7 @@
                 outcome=Outcome.DONE,
                 result=result,
                 served_by=operation.upstream,
-                position=job.request.session,
+                position=operation.floor,
                 age_ms=age * 1000,
                 current=current,
             ),
@@ -882,6 +942,8 @@
 
     def committed(self, job, operation, result, position):
         """A write is in the primary's log; it waits for its majority."""
+        if operation.upstream == self.view.primary and position.term == self.view.term:
+            self.view.marks.add(sent_at=operation.sent_at, index=position.index)
         self.recent.wrote(job.caller, position)
         self.recent.wrote((job.request.member, ""), position)
         if job.closed:
--- a/packages/core/gypsum_core/jobs.py
+++ b/packages/core/gypsum_core/jobs.py
@@ -29,6 +29,7 @@
     result: Result | None = None
     position: Position | None = None
     served_by: str = ""
+    committed_at: float = 0.0
     step: str = "queue"
     op: int = 0
 
@@ -85,7 +86,9 @@
 class Operation:
     """An upstream action in flight.
 
-    `as_of` is the time from which a read's age counts; `maybe_run_before` what
+    `as_of` is the time from which a read's age counts, `floor` the position that it
+    was proved to show and that its caller's token will carry; a caller who came
+    without a token need not be vouched for again. `maybe_run_before` is what
     the job's `maybe_run` returns to when this attempt provably did nothing.
     """
 
@@ -96,6 +99,7 @@
     term: int
     job: Job | None = None
     as_of: float = 0.0
+    floor: Position | None = None
     asker: str = ""
     nonce: int = 0
     fresh: bool = False
--- a/packages/core/gypsum_core/readdesk.py
+++ b/packages/core/gypsum_core/readdesk.py
@@ -93,7 +93,7 @@
         )
         if lawful:
             return Placement(place=Place.REPLICA, upstreams=lawful)
-        if self.worth_waiting(job, live):
+        if self.worth_waiting(job, live, floor):
             return Placement(place=Place.CATCH_UP)
         return self.place_primary(job, floor)
 
@@ -119,20 +119,21 @@
             and not self.leaving(name)
         ]
 
-    def worth_waiting(self, job, live):
-        """Tell whether a replica's lag says that it will soon cover this read.
+    def worth_waiting(self, job, live, floor):
+        """Tell whether a replica's trend says that it covers this read soon.
 
-        A replica whose data is younger than the bounded wait will have caught
-        up with anything written before the read by the end of it.
+        What was written at t shows at a replica of lag l at about t + l. Without
+        this a read that is only just not covered, or covered since the last look,
+        goes to the primary.
         """
         if job.waited_replica or job.kind.max_age_ms <= 0:
             return False
         wait = self.ctx.tuning.replica_wait
         if job.request.deadline - self.ctx.now < 4 * wait:
             return False
-        poll = self.ctx.tuning.poll_interval
-        ages = [self.ctx.now - self.view.as_of(name) for name in live]
-        return any(age < wait + poll for age in ages)
+        written_at = self.view.marks.earliest_at_least(floor.index, self.ctx.now)
+        ready = (written_at + self.view.lag(name) for name in live)
+        return min(ready, default=float("inf")) <= self.ctx.now + wait
 
     def quickest(self, upstreams):
         """The replica with a free slot and the least expected delay, or None."""
--- a/packages/core/gypsum_core/writedesk.py
+++ b/packages/core/gypsum_core/writedesk.py
@@ -27,13 +27,18 @@
         job.served_by = served_by
         job.step = "confirm"
         job.maybe_run = True
+        job.committed_at = self.ctx.now
         self.unconfirmed.append(job)
 
     def oldest_wait(self):
-        """Seconds that the oldest write has been waiting for confirmation."""
+        """Seconds that the oldest write has been waiting for confirmation.
+
+        Counted from its commit: the time it stood in the queue says nothing about
+        the replicas.
+        """
         if not self.unconfirmed:
             return 0.0
-        return self.ctx.now - min(job.arrived for job in self.unconfirmed)
+        return self.ctx.now - self.unconfirmed[0].committed_at
 
     def stalled(self):
         """Tell whether no replica keeps up with the primary."""
