What is too late to be confirmed takes no slot

Cause: after a failover the request with the earliest deadline that could still run was sent, and its confirmation came just after the deadline, again and again. Ruled out: a slow promotion (0.5 s), replicas that do not follow (they did at once). Change: the time needed is measured from sending to confirmation.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -180,7 +180,7 @@
         policy = "fifo" if fifo else "gypsumhitch"
         scene = "heatwave_failover" if heatwave else "steady"
         name = f"weighted_service_{factor:.0f}x_{scene}_{policy}"
-        bound = 0.9 if not fifo and not heatwave else None
+        bound = None if fifo else (0.85 if heatwave else 0.9)
         yield Figure(name=name, value=share, unit="ratio", bound=bound, lowest=True)
         yield Figure(name=f"{name}_median_refusal_after", value=late, unit="virtual s")
 
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -277,7 +277,8 @@
         next one has expired meanwhile as well.
         """
         left = job.request.deadline - self.ctx.now
-        if job.maybe_run or job.request.tx or left >= TIME_NEEDED * lane.service:
+        needed = lane.service if job.is_read else self.writes.whole_time
+        if job.maybe_run or job.request.tx or left >= TIME_NEEDED * needed:
             return False
         self.refuse(
             job,
@@ -582,6 +583,7 @@
         maybe_run_before = job.maybe_run
         job.maybe_run = maybe_run_before or work in LASTING
         job.attempts += 1
+        job.started_at = self.ctx.now
         job.step = work.value
         action = kind(
             op=self.ctx.next_op(),
--- a/packages/core/gypsum_core/jobs.py
+++ b/packages/core/gypsum_core/jobs.py
@@ -29,6 +29,7 @@
     result: Result | None = None
     position: Position | None = None
     served_by: str = ""
+    started_at: float = 0.0
     committed_at: float = 0.0
     step: str = "queue"
     op: int = 0
--- a/packages/core/gypsum_core/writedesk.py
+++ b/packages/core/gypsum_core/writedesk.py
@@ -5,11 +5,14 @@
 FASTEST_ROUND = 0.004
 SLOWEST_ROUND = 0.05
 PATIENCE = 8.0
+SMOOTHING = 0.1
 
 
 class WriteDesk:
     """Holds committed writes until a majority of the group has them.
 
+    `whole_time` is how many seconds a write takes from its sending to that point.
+
     What goes wrong without it: a primary acknowledges, dies, and the replica
     promoted in its place never had the write. Or a primary that was replaced
     without knowing it acknowledges writes that nobody will ever see.
@@ -19,6 +22,7 @@
         self.ctx = ctx
         self.view = view
         self.unconfirmed = []
+        self.whole_time = 0.0
 
     def add(self, job, *, result, position, served_by):
         """A write committed at `position`; it is not done yet."""
@@ -56,6 +60,9 @@
             for job in self.unconfirmed
             if self.view.confirmed(job.position, by=job.served_by)
         ]
+        for job in done:
+            took = self.ctx.now - job.started_at
+            self.whole_time += SMOOTHING * (took - self.whole_time)
         if done:
             self.unconfirmed = [job for job in self.unconfirmed if job not in done]
         return done
