--- a/packages/core/gypsum_core/fairqueue.py
+++ b/packages/core/gypsum_core/fairqueue.py
@@ -56,9 +56,9 @@
 
     def pop(self) -> Any:
         """Take the next item; None when the queue is empty."""
-        member = self.next_member()
-        if member is None:
+        if not self.size:
             return None
+        member = self.next_member()
         line = self.lines[member]
         item = line.items.pop(0).item
         self.clock = line.finish
--- a/packages/core/gypsum_core/group.py
+++ b/packages/core/gypsum_core/group.py
@@ -70,6 +70,7 @@
         self.primary = None
         self.term = 0
         self.marks = Marks(limit=marks, times=[], indexes=[])
+        self.proved = {}
 
     @property
     def highest_term(self):
@@ -93,11 +94,18 @@
         if known and known.sent_at > sent_at:
             return False
         self.seen[status.upstream] = Seen(status=status, sent_at=sent_at)
+        self.proved.clear()
         changed = self.choose_primary()
         if status.upstream == self.primary and status.promised == self.term:
             self.marks.add(sent_at=sent_at, index=status.received)
         return changed
 
+    def observed(self, *, sent_at, position, by):
+        """Take in a log end that a write's answer carried."""
+        if by == self.primary and position.term == self.term:
+            self.marks.add(sent_at=sent_at, index=position.index)
+            self.proved.clear()
+
     def choose_primary(self):
         """Find the primary of the highest term; None if that term has none."""
         leaders = [
@@ -121,6 +129,7 @@
     def forget(self, upstream):
         """Drop what is known of an upstream that answers no longer."""
         self.seen.pop(upstream, None)
+        self.proved.clear()
 
     def status(self, upstream):
         """The last status of an upstream, or None."""
@@ -157,7 +166,16 @@
         return min(self.seen_at(self.primary), times[needed - 1])
 
     def as_of(self, upstream):
-        """The latest time before which this upstream shows every acknowledged write."""
+        """The latest time before which this upstream shows every acknowledged write.
+
+        Asked several times for each read, proved once for each new status.
+        """
+        if upstream not in self.proved:
+            self.proved[upstream] = self.prove(upstream)
+        return self.proved[upstream]
+
+    def prove(self, upstream):
+        """Work out what the statuses prove of an upstream's data."""
         verified = self.verified_at()
         if upstream == self.primary:
             return verified
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -127,7 +127,7 @@
         self.rank = rank
         if rank == 0:
             self.activate()
-        if changed and rank in (0, 1):
+        if changed:
             self.warm()
 
     def warm(self):
@@ -323,6 +323,11 @@
         """Queue a read where it may lawfully run, or wait for knowledge."""
         placement = self.reads.place(job, self.claim.held)
         if placement.place is Place.REPLICA:
+            if not len(self.replica_queue) and not self.held:
+                upstream = self.reads.quickest(placement.upstreams)
+                if upstream is not None:
+                    self.start_read(job, upstream)
+                    return
             lanes = [self.lanes[name] for name in placement.upstreams]
             slots = sum(lane.slots for lane in lanes)
             service = min(lane.service for lane in lanes)
@@ -944,8 +949,9 @@
 
     def committed(self, job, operation, result, position):
         """A write is in the primary's log; it waits for its majority."""
-        if operation.upstream == self.view.primary and position.term == self.view.term:
-            self.view.marks.add(sent_at=operation.sent_at, index=position.index)
+        self.view.observed(
+            sent_at=operation.sent_at, position=position, by=operation.upstream
+        )
         self.recent.wrote(job.caller, position)
         self.recent.wrote((job.request.member, ""), position)
         if job.closed:
--- a/packages/core/gypsum_core/manifests.py
+++ b/packages/core/gypsum_core/manifests.py
@@ -5,15 +5,14 @@
 the platform's calls do not grow with the fleet.
 """
 
-from xxhash import xxh3_64_intdigest
-
 from gypsum_core.messages import Changes, DatabaseVersion, Digest, Versions
-from gypsum_core.placement import order_daemons
+from gypsum_core.placement import hash_of
 
 PART = "manifest"
 BOOTSTRAP = "bootstrap"
 BOOTSTRAP_PEERS = 3
 BOOTSTRAP_PAUSE = 0.5
+OTHER_DOMAINS = 3
 
 
 class Manifests:
@@ -25,6 +24,7 @@
         self.office = office
         self.in_force = {}
         self.digest = 0
+        self.lines = {}
         self.ready = False
         self.rounds = 0
 
@@ -81,11 +81,16 @@
 
     def line(self):
         """The daemons of our failure domain in relay order."""
-        domain = self.office.domain
-        daemons = [item for item in self.office.daemons() if item.domain == domain]
-        return [
-            item.id for item in order_daemons(database=f"@{domain}", daemons=daemons)
-        ]
+        return self.lines.get(self.office.domain, [])
+
+    def list_changed(self):
+        """The instance list changed: order each failure domain's daemons anew."""
+        lines = {}
+        for daemon in self.office.daemons():
+            lines.setdefault(daemon.domain, []).append(daemon.id)
+        for domain, line in lines.items():
+            line.sort(key=lambda name, domain=domain: hash_of("@relay", domain, name))
+        self.lines = lines
 
     def watches(self):
         """Tell whether this daemon is among those that watch the platform."""
@@ -118,14 +123,15 @@
                 above = (place - tuning.relay_watchers) // tuning.relay_fanout
                 parents.append(line[above])
         parents.extend(line[: tuning.relay_watchers])
-        others = [
-            item for item in self.office.daemons() if item.domain != self.office.domain
-        ]
-        parents.extend(
-            item.id for item in order_daemons(database="@", daemons=others, first=3)
-        )
+        parents.extend(self.heads_elsewhere())
         return [name for name in parents if name != self.ctx.daemon]
 
+    def heads_elsewhere(self):
+        """The first watchers of a few other failure domains."""
+        own = self.office.domain
+        others = sorted(domain for domain in self.lines if domain != own)
+        return [self.lines[domain][0] for domain in others[:OTHER_DOMAINS]]
+
     def pass_on(self, entries, *, source):
         """Send changes down the tree, and across when they came from above."""
         targets = list(self.children())
@@ -201,4 +207,4 @@
 
 def version_hash(name, version):
     """Hash one database's version; the digest is the exclusive or of them."""
-    return xxh3_64_intdigest(f"{name}\x00{version}".encode())
+    return hash_of(name, str(version))
--- a/packages/core/gypsum_core/node.py
+++ b/packages/core/gypsum_core/node.py
@@ -34,11 +34,12 @@
     Versions,
 )
 from gypsum_core.peers import Peers
-from gypsum_core.placement import order_daemons
+from gypsum_core.placement import Placement
 from gypsum_core.spec import DEFAULT_TUNING, InstanceRole
 
 HOME_PARTS = frozenset({home.PART, home.DEADLINE, home.CATCH_UP, failover.PART})
 ORDER_LENGTH = 8
+RANKS = 2
 
 
 class Node:
@@ -56,6 +57,7 @@
         self.listed = ()
         self.daemon_by_id = {}
         self.leaving_upstreams = frozenset()
+        self.placement = Placement()
         self.orders = {}
         self.homes = {}
         self.peers = Peers(ctx=self.ctx)
@@ -126,7 +128,7 @@
 
     def on_group_message(self, peer, message):
         """Take in what a peer says or asks about a group."""
-        item = self.homes.get(message.database)
+        item = self.home(message.database)
         if item is None:
             return
         if isinstance(message, AskPrimary):
@@ -165,7 +167,10 @@
 
     def on_instances(self, instances):
         """Take in the platform's list; it lags, so it is only advice."""
-        self.listed = tuple(instances)
+        instances = tuple(instances)
+        if instances == self.listed:
+            return
+        self.listed = instances
         self.daemon_by_id = {
             item.id: item for item in instances if item.role is InstanceRole.DAEMON
         }
@@ -175,38 +180,49 @@
             if item.role is InstanceRole.UPSTREAM and item.leaving
         )
         self.peers.forget(self.daemon_by_id)
+        staying = [item for item in self.daemon_by_id.values() if not item.leaving]
+        self.placement.update(staying or self.daemon_by_id.values())
         self.orders.clear()
+        self.manifests.list_changed()
         self.rank_homes()
 
     def on_manifests(self, event):
         """Put newer manifests in force."""
         for spec in self.manifests.seen(event):
             item = self.homes.get(spec.name)
-            if item is None:
-                item = self.homes[spec.name] = Home(
-                    ctx=self.ctx, spec=spec, office=self
-                )
-                item.set_rank(self.rank(spec.name))
-            else:
+            if item is not None:
                 item.update_spec(spec)
+            else:
+                self.rank_home(spec.name)
+
+    def home(self, database):
+        """Our part in serving a database, made when first needed; None if unknown.
+
+        A daemon serves a few of all databases: keeping a home for each would cost
+        more memory than the control of a daemon may.
+        """
+        item = self.homes.get(database)
+        spec = self.spec(database)
+        if item is None and spec is not None:
+            item = Home(ctx=self.ctx, spec=spec, office=self)
+            self.homes[database] = item
+        return item
 
     # Placement
 
     def order(self, database):
-        """The daemons of a database, first its home; leaving ones come last."""
+        """The daemons of a database, first its home; leaving ones have no place."""
         order = self.orders.get(database)
         if order is None:
-            staying = [item for item in self.daemon_by_id.values() if not item.leaving]
-            daemons = staying or list(self.daemon_by_id.values())
-            ranked = order_daemons(
-                database=database, daemons=daemons, first=ORDER_LENGTH
-            )
-            order = self.orders[database] = [item.id for item in ranked]
+            order = self.placement.order(database, ORDER_LENGTH)
+            self.orders[database] = order
         return order
 
     def rank(self, database):
-        """Our place in a database's order, None when we have none."""
-        order = [name for name in self.order(database) if self.is_here(name)]
+        """Our place in a database's order: 0 home, 1 standby, None further down."""
+        leaving = sum(peer.leaving for peer in self.peers.known.values())
+        order = self.placement.order(database, RANKS + leaving)
+        order = [name for name in order if self.is_here(name)]
         return order.index(self.ctx.daemon) if self.ctx.daemon in order else None
 
     def is_here(self, name):
@@ -216,8 +232,21 @@
 
     def rank_homes(self):
         """Take our new place in each database's order."""
-        for name, item in self.homes.items():
-            item.set_rank(self.rank(name))
+        for name in self.manifests.in_force:
+            self.rank_home(name)
+
+    def rank_home(self, database):
+        """Take our place in one database's order; drop what we need no longer."""
+        rank = self.rank(database)
+        if rank is not None:
+            self.home(database).set_rank(rank)
+            return
+        item = self.homes.get(database)
+        if item is None:
+            return
+        item.set_rank(None)
+        if not item.busy and not item.active:
+            del self.homes[database]
 
     def next_home(self, database):
         """The first usable daemon of the order that is not this one."""
@@ -247,7 +276,7 @@
 
     def serve(self, request, origin):
         """Work on a request as the database's home."""
-        item = self.homes.get(request.database)
+        item = self.home(request.database)
         if item is None:
             self.redirect(origin, request.id, self.next_home(request.database))
             return
