The instance list travels along the manifests' tree

Cause: every daemon read the platform's list each second; 4,000 daemons would ask for twice what the platform answers. Change: only watchers read it, changes go down the tree by revision, a daemon that is not on its own list reads it itself until it is. Failed on the way: with 'read once, then only as a watcher' a daemon that had read an empty list never read again; process tests showed it, the rule above mends it.

--- a/packages/core/gypsum_core/events.py
+++ b/packages/core/gypsum_core/events.py
@@ -51,9 +51,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstancesListed(Event):
-    """The platform's list of instances, as lagging as it is."""
+    """The platform's list of instances, as lagging as it is.
+
+    Seeds from the settings come as revision 0, below any of the platform's.
+    """
 
     instances: tuple[Instance, ...]
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/gypsum_core/manifests.py
+++ b/packages/core/gypsum_core/manifests.py
@@ -134,12 +134,16 @@
 
     def pass_on(self, entries, *, source):
         """Send changes down the tree, and across when they came from above."""
+        for peer in self.targets():
+            if peer != source:
+                self.ctx.send(peer, Changes(entries=entries))
+
+    def targets(self):
+        """Who gets news from us: our children; a watcher tells other domains too."""
         targets = list(self.children())
         if self.watches():
             targets.extend(self.parents())
-        for peer in dict.fromkeys(targets):
-            if peer != source:
-                self.ctx.send(peer, Changes(entries=entries))
+        return list(dict.fromkeys(targets))
 
     # Comparing
 
@@ -164,6 +168,7 @@
         asked = [name for name in self.parents() if self.peers.usable(name)]
         for peer in asked[:BOOTSTRAP_PEERS]:
             self.ctx.send(peer, question)
+            self.ctx.send(peer, self.own_digest())
         self.ctx.set_timer(BOOTSTRAP_PAUSE, part=PART, detail=BOOTSTRAP)
 
     def compare(self):
@@ -178,10 +183,15 @@
         self.rounds += 1
         across = self.watches() and self.rounds % 2 == 0
         peer = parents[-1] if across else parents[0]
-        self.ctx.send(peer, Digest(digest=f"{self.digest:016x}"))
+        self.ctx.send(peer, self.own_digest())
+
+    def own_digest(self):
+        """What we hold, in a few bytes."""
+        return Digest(digest=f"{self.digest:016x}", revision=self.office.list.revision)
 
     def on_digest(self, peer, message):
         """A peer's digest differs: offer our versions and ask for its own."""
+        self.office.send_list(peer, message.revision)
         if message.digest != f"{self.digest:016x}":
             self.ctx.send(peer, Versions(versions=self.versions(), reply=True))
 
@@ -194,7 +204,6 @@
                 Changes(
                     entries=entries,
                     complete=message.reply and self.ready,
-                    instances=self.office.instances(),
                 ),
             )
         mine = {name: item.spec.version for name, item in self.in_force.items()}
--- a/packages/core/gypsum_core/messages.py
+++ b/packages/core/gypsum_core/messages.py
@@ -97,21 +97,45 @@
 class Changes(Message):
     """Manifests that the sender holds in force.
 
-    `complete` says that nothing newer is missing from what the sender has;
-    `instances` is its list of instances, for a daemon that starts while the
-    platform is away.
+    `complete` says that nothing newer is missing from what the sender has.
     """
 
     entries: tuple[ManifestEntry, ...]
     complete: bool = False
-    instances: tuple[Instance, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceChanges(Message):
+    """What changed in the instance list from revision `base` to `revision`."""
+
+    base: int
+    revision: int
+    changed: tuple[Instance, ...]
+    removed: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskInstances(Message):
+    """The sender missed a change of the instance list."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WholeList(Message):
+    """The sender's whole instance list."""
+
+    revision: int
+    instances: tuple[Instance, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Digest(Message):
-    """A hash over the versions in force; a differing peer sends its versions."""
+    """A hash over the versions in force, and the revision of the instance list.
+
+    A peer that differs sends its versions; one that has a newer list sends that.
+    """
 
     digest: str
+    revision: int = -1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/gypsum_core/node.py
+++ b/packages/core/gypsum_core/node.py
@@ -19,12 +19,15 @@
     UpstreamEvent,
 )
 from gypsum_core.home import Home
+from gypsum_core.instances import Instances
 from gypsum_core.manifests import Manifests
 from gypsum_core.messages import (
     Answered,
+    AskInstances,
     AskPrimary,
     Digest,
     Forward,
+    InstanceChanges,
     Leaving,
     Ping,
     Pong,
@@ -32,6 +35,7 @@
     Redirect,
     TermNews,
     Versions,
+    WholeList,
 )
 from gypsum_core.peers import Peers
 from gypsum_core.placement import Placement
@@ -54,7 +58,6 @@
             daemon=daemon, incarnation=incarnation, rng=rng, tuning=tuning
         )
         self.domain = domain
-        self.listed = ()
         self.daemon_by_id = {}
         self.leaving_upstreams = frozenset()
         self.placement = Placement()
@@ -62,6 +65,7 @@
         self.homes = {}
         self.peers = Peers(ctx=self.ctx)
         self.entry = Entry(ctx=self.ctx, peers=self.peers, office=self)
+        self.list = Instances(ctx=self.ctx, office=self)
         self.manifests = Manifests(ctx=self.ctx, peers=self.peers, office=self)
         self.drain = Drain(ctx=self.ctx, office=self)
 
@@ -88,7 +92,7 @@
         elif isinstance(event, CallerGone):
             self.entry.gone(event.request)
         elif isinstance(event, InstancesListed):
-            self.on_instances(event.instances)
+            self.on_list(event.instances, event.revision, source="platform")
         elif isinstance(event, ManifestsSeen):
             self.on_manifests(event)
         elif isinstance(event, DrainAsked):
@@ -123,6 +127,13 @@
             self.manifests.on_digest(peer, message)
         elif isinstance(message, Versions):
             self.manifests.on_versions(peer, message)
+        elif isinstance(message, InstanceChanges):
+            if self.list.changes(peer, message):
+                self.list_changed()
+        elif isinstance(message, AskInstances):
+            self.list.asked(peer)
+        elif isinstance(message, WholeList):
+            self.on_list(message.instances, message.revision, source=peer)
         else:
             self.on_group_message(peer, message)
 
@@ -165,12 +176,14 @@
         elif timer.part in HOME_PARTS and timer.database in self.homes:
             self.homes[timer.database].on_timer(timer)
 
-    def on_instances(self, instances):
-        """Take in the platform's list; it lags, so it is only advice."""
-        instances = tuple(instances)
-        if instances == self.listed:
-            return
-        self.listed = instances
+    def on_list(self, instances, revision, *, source):
+        """Take in a whole instance list."""
+        if self.list.listed(instances=instances, revision=revision, source=source):
+            self.list_changed()
+
+    def list_changed(self):
+        """Take our new place; the list lags, so it is only advice."""
+        instances = self.list.all()
         self.daemon_by_id = {
             item.id: item for item in instances if item.role is InstanceRole.DAEMON
         }
@@ -266,9 +279,23 @@
         """The daemons on the instance list."""
         return self.daemon_by_id.values()
 
-    def instances(self):
-        """The instance list."""
-        return self.listed
+    def relay_targets(self):
+        """Who gets news of manifests and instances from us."""
+        return self.manifests.targets()
+
+    def send_list(self, peer, revision):
+        """Send the instance list to a peer whose revision is older."""
+        if revision < self.list.revision:
+            self.list.asked(peer)
+
+    def reads_list(self):
+        """Tell whether we read the platform's instance list ourselves.
+
+        A daemon that is not on its list does so until it is: nobody passes changes
+        on to it, and it would wait for its place for ever.
+        """
+        listed = self.is_daemon(self.ctx.daemon)
+        return not listed or self.list.revision <= 0 or self.manifests.watches()
 
     def is_daemon(self, name):
         """Tell whether the instance list names a daemon."""
--- a/packages/daemon/gypsum_daemon/feed.py
+++ b/packages/daemon/gypsum_daemon/feed.py
@@ -72,15 +72,27 @@
         self.client.close()
 
     async def follow_instances(self):
-        """Read the instance list at intervals."""
+        """Read the instance list once, and at intervals while we watch.
+
+        What goes wrong if everyone reads it: the platform's calls grow with the
+        fleet, and 4,000 daemons ask for more than it answers.
+        """
         while True:
-            try:
-                instances = await self.client.list_instances()
-                self.shell.feed(InstancesListed(instances=instances))
-            except (PlatformError, HTTPClientError) as exc:
-                logs.write(PART, f"no instance list: {exc}")
+            if self.shell.node.reads_list():
+                await self.read_instances()
             await asyncio.sleep(self.settings.instance_poll_s)
 
+    async def read_instances(self):
+        """Read the instance list."""
+        try:
+            listing = await self.client.list_instances()
+        except (PlatformError, HTTPClientError) as exc:
+            logs.write(PART, f"no instance list: {exc}")
+            return
+        self.shell.feed(
+            InstancesListed(instances=listing.instances, revision=listing.revision)
+        )
+
     async def follow_manifests(self):
         """Load all manifests once, then watch while it is our turn to."""
         pause = FIRST_RETRY
--- a/packages/daemon/gypsum_daemon/operators.py
+++ b/packages/daemon/gypsum_daemon/operators.py
@@ -61,7 +61,7 @@
     def get(self, database):
         """Describe one database as this daemon sees it."""
         node = self.shell.node
-        item = node.homes.get(database)
+        item = node.home(database)
         if item is None:
             self.write_json(
                 {"detail": f"unknown database {database!r}"}, HTTPStatus.NOT_FOUND
--- a/packages/daemon/gypsum_daemon/shell.py
+++ b/packages/daemon/gypsum_daemon/shell.py
@@ -13,7 +13,6 @@
     CallerGone,
     CallerRequest,
     DrainAsked,
-    InstancesListed,
     ManifestsSeen,
     PeerLost,
     PeerMessage,
@@ -93,8 +92,6 @@
 
     def feed_changes(self, peer, changes):
         """Take in manifests that a peer holds in force."""
-        if changes.instances and not self.node.daemon_by_id:
-            self.feed(InstancesListed(instances=changes.instances))
         self.feed_manifests(changes.entries, source=peer, complete=changes.complete)
 
     def feed_manifests(self, entries, *, source, complete):
--- a/packages/platform/gypsum_platform/client.py
+++ b/packages/platform/gypsum_platform/client.py
@@ -8,7 +8,8 @@
   is at that version (0: absent) and gives the new object; else 409 with the
   object as it stands.
 - `GET /watch/KIND?since=REVISION&wait=SECONDS` answers when something changed.
-- `GET /instances` gives `{instances: [{id, role, domain, address, leaving}]}`.
+- `GET /instances` gives `{revision, instances: [{id, role, domain, address,
+  leaving}]}`; the revision is 1 or more and rises with each change.
 """
 
 import json
@@ -47,6 +48,14 @@
     objects: tuple[StoredObject, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceListing:
+    """The instance list at one revision."""
+
+    revision: int
+    instances: tuple[Instance, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PutAnswer:
     """Whether a conditional write took effect, and the object as it stands."""
@@ -104,7 +113,10 @@
         """The lagging list of live and leaving instances."""
         answer = await self.call("instances", "/instances")
         try:
-            return tuple(read_instance(item) for item in answer["instances"])
+            return InstanceListing(
+                revision=int(answer["revision"]),
+                instances=tuple(read_instance(item) for item in answer["instances"]),
+            )
         except (KeyError, TypeError, ValueError) as exc:
             raise PlatformError(
                 f"malformed instance list: {exc}", step="instances", peer=self.base_url
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -15,7 +15,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
-START_LIMIT = 60.0
+START_LIMIT = 40.0
 SECRET = "not-so-secret-link"
 SESSION_KEY = "not-so-secret-session"
 SCHEMA = """
--- a/tests/fakes/host.py
+++ b/tests/fakes/host.py
@@ -5,7 +5,6 @@
 
 from gypsum_core import actions
 from gypsum_core.events import (
-    InstancesListed,
     ManifestsSeen,
     PeerLost,
     PeerMessage,
@@ -106,8 +105,6 @@
 
     def take_changes(self, peer, changes):
         """Manifests from a peer, as the shell hands them in."""
-        if changes.instances and not self.node.daemon_by_id:
-            self.feed(InstancesListed(instances=changes.instances))
         manifests = tuple(self.world.manifest_of(entry) for entry in changes.entries)
         self.feed(
             ManifestsSeen(manifests=manifests, source=peer, complete=changes.complete)
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -27,6 +27,7 @@
         self.specs = {}
         self.writers = {}
         self.instances = ()
+        self.list_revision = 0
         self.down = False
         self.slow = 0.0
         self.lose_answers = 0
@@ -81,12 +82,18 @@
         """Give a host the list, again and again."""
         if host.life != life:
             return
-        self.calls += 1
-        if not self.down and not self.world.is_cut(host.name, "platform"):
-            instances = self.instances
-            self.clock.after(self.slow, host.feed, InstancesListed(instances=instances))
+        if host.node.reads_list():
+            self.send_list(host)
         self.clock.after(LIST_INTERVAL, self.list_instances, host, life)
 
+    def send_list(self, host):
+        """Answer a host's question for the list."""
+        self.calls += 1
+        if self.down or self.world.is_cut(host.name, "platform"):
+            return
+        listed = InstancesListed(instances=self.instances, revision=self.list_revision)
+        self.clock.after(self.slow, host.feed, listed)
+
     def load(self, host, life):
         """Give a host everything once, then what it missed if it watches."""
         if host.life != life:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -138,6 +138,7 @@
             for name in group.servers
         ]
         self.platform.instances = (*daemons, *upstreams)
+        self.platform.list_revision += 1
 
     # Network
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -48,6 +48,7 @@
 
     objects: dict = field(default_factory=dict)
     instances: list = field(default_factory=list)
+    list_revision: int = 1
     revision: int = 0
     faults: Faults = field(default_factory=Faults)
     calls: dict = field(default_factory=dict)
@@ -149,10 +150,16 @@
     """The instance list; PUT is a test switch."""
 
     def get(self):
-        self.finish({"instances": self.store.instances})
+        self.finish(
+            {
+                "revision": self.store.list_revision,
+                "instances": self.store.instances,
+            }
+        )
 
     def put(self):
         self.store.instances = json.loads(self.request.body)["instances"]
+        self.store.list_revision += 1
         self.finish({})
 
 
