--- /dev/null
+++ b/bench/bare.py
@@ -0,0 +1,35 @@
+"""A bare tornado handler, the yardstick of the path's cost: JSON in, JSON out."""
+
+import asyncio
+import json
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+ANSWER = {"outcome": "done", "columns": ["n"], "rows": [[0]], "served_by": "u1"}
+
+
+class BareHandler(RequestHandler):
+    """Reads a JSON body, writes a JSON answer."""
+
+    async def post(self):
+        """Answer at once."""
+        json.loads(self.request.body)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(ANSWER))
+
+
+async def main():
+    """Serve until killed."""
+    server = HTTPServer(
+        Application([(r"/.*", BareHandler)], log_function=lambda handler: None)
+    )
+    sockets = bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    print(f"ready {sockets[0].getsockname()[1]}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/packages/core/gypsum_core/records.py
+++ b/packages/core/gypsum_core/records.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Any
 
 
 class Mode(StrEnum):
@@ -106,7 +107,7 @@
     """One SQL statement with its positional parameters."""
 
     sql: str
-    params: tuple = ()
+    params: tuple[Any, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,7 +143,7 @@
     """What a statement produced."""
 
     columns: tuple[str, ...] = ()
-    rows: tuple = ()
+    rows: tuple[tuple[Any, ...], ...] = ()
     affected: int = 0
     last_id: int = 0
     replayed: bool = False
--- a/packages/links/gypsum_links/codec.py
+++ b/packages/links/gypsum_links/codec.py
@@ -1,6 +1,5 @@
 """Messages between daemons as CBOR: `[message name, fields]`."""
 
-import dataclasses
 from functools import cache
 
 import cbor2
@@ -27,8 +26,10 @@
 
 
 def encode(message):
-    """A message as bytes."""
-    return cbor2.dumps([type(message).__name__, plain(message)])
+    """A message as bytes; fields at their default are left out."""
+    name = type(message).__name__
+    fields = adapter(name).dump_python(message, exclude_defaults=True)
+    return cbor2.dumps([name, fields])
 
 
 def decode(data):
@@ -40,17 +41,3 @@
         return adapter(name).validate_python(fields)
     except (cbor2.CBORDecodeError, ValidationError, TypeError, ValueError) as exc:
         raise CodecError(f"not a message: {exc}") from exc
-
-
-def plain(value):
-    """Nested dataclasses as maps; fields at their default are left out."""
-    if not dataclasses.is_dataclass(value):
-        if isinstance(value, tuple):
-            return [plain(item) for item in value]
-        return value
-    fields = {}
-    for item in dataclasses.fields(value):
-        content = getattr(value, item.name)
-        if content != item.default:
-            fields[item.name] = plain(content)
-    return fields
