--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,8 +11,10 @@
 import time
 import tracemalloc
 from dataclasses import dataclass
+from multiprocessing import get_context
 from pathlib import Path
 
+import asyncmy
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -21,10 +23,10 @@
 from bench.path import processor_seconds
 from gypsum_core.events import InstancesListed, ManifestsSeen
 from gypsum_core.messages import Changes, Digest, InstanceChanges, ManifestEntry
-from gypsum_core.node import Node
-from gypsum_core.spec import Instance, InstanceRole
+from gypsum_core.spec import DEFAULT_TUNING, Instance, InstanceRole
 from gypsum_links.codec import encode
 from gypsum_links.links import Links
+from gypsum_upstream.sql import ask_status
 from tests.cluster import Cluster
 from tests.fakes.platform import accepted
 from tests.fakes.world import make_spec
@@ -42,10 +44,12 @@
 DAY = 86_400.0
 DOMAINS = 11
 CORE_LIMIT, MEMORY_LIMIT, BYTES_LIMIT = 0.033, 64.0, 8.0
-BUSY_POLLS, IDLE_POLLS = 10.0, 2.0
-STATUS_BYTES = 330
+REFRESHES = 1 / DEFAULT_TUNING.idle_poll_interval
 IDLE_SECONDS = 6.0
 LINKS = 150
+PROBES = 50
+RELAY_END = 0.3
+FAST_POLL, SLOW_POLL = 0.02, 0.5
 CALLERS = 400
 
 
@@ -64,6 +68,7 @@
     idle_core: float
     entry_us: float
     home_us: float
+    status_bytes: float
     manifest_bytes: int
     digest_bytes: int
     list_change_bytes: int
@@ -188,10 +193,64 @@
     return grown / CALLERS / 2
 
 
+async def measure_status_bytes():
+    """Bytes of one status question and answer on an open connection."""
+    with Cluster(daemons=0) as cluster:
+        counted = CountingRelay(cluster.sql_ports["u1"])
+        port = await counted.listen()
+        conn = await asyncmy.connect(host="127.0.0.1", port=port, user="x")
+        await ask_status(conn)
+        before = counted.bytes
+        for _ in range(PROBES):
+            await ask_status(conn)
+        total = counted.bytes - before
+        conn.close()
+        await asyncio.sleep(RELAY_END)
+    return total / PROBES
+
+
+class CountingRelay:
+    """Passes bytes on to an upstream and counts them, both ways."""
+
+    def __init__(self, target):
+        self.target = target
+        self.bytes = 0
+        self.tasks = []
+
+    async def listen(self):
+        """Accept connections; returns the port."""
+        server = await asyncio.start_server(self.relay, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
+
+    async def relay(self, reader, writer):
+        """Relay one connection."""
+        there, back = await asyncio.open_connection("127.0.0.1", self.target)
+        self.tasks.append(asyncio.ensure_future(self.copy(reader, back)))
+        await self.copy(there, writer)
+
+    async def copy(self, reader, writer):
+        """Copy one direction."""
+        while data := await reader.read(65536):
+            self.bytes += len(data)
+            writer.write(data)
+        writer.close()
+
+
+def run_measurement(measurement):
+    """Run an asynchronous measurement."""
+    return asyncio.run(measurement())
+
+
+def in_fresh_process(measurement):
+    """Run one in a process whose memory nothing has grown and shrunk before."""
+    with get_context("spawn").Pool(1) as pool:
+        return pool.apply(run_measurement, (measurement,))
+
+
 def measure_processes():
     """Core share of an idle daemon that is home, and the cost of a probe."""
     shares = []
-    for poll in (0.02, 0.5):
+    for poll in FAST_POLL, SLOW_POLL:
         tuning = {"poll_interval": poll, "idle_poll_interval": poll}
         with Cluster(tuning=tuning) as cluster:
             home = cluster.daemons[cluster.home()[0]]
@@ -199,9 +258,9 @@
             before = processor_seconds(home)
             time.sleep(IDLE_SECONDS)
             shares.append((processor_seconds(home) - before) / IDLE_SECONDS)
-    probes = 3 / 0.02 - 3 / 0.5
+    probes = 3 / FAST_POLL - 3 / SLOW_POLL
     probe = (shares[0] - shares[1]) / probes
-    return max(0.0, shares[1] - probe * 3 / 0.5), probe * 1e6
+    return max(0.0, shares[1] - probe * 3 / SLOW_POLL), probe * 1e6
 
 
 def measure_path():
@@ -224,14 +283,15 @@
         database_kb=database,
         instance_kb=instance,
         home_kb=home,
-        link_kb=asyncio.run(measure_links()),
-        caller_kb=asyncio.run(measure_callers()),
+        link_kb=in_fresh_process(measure_links),
+        caller_kb=in_fresh_process(measure_callers),
         list_change_ms=list_ms,
         manifest_change_ms=manifest_ms,
         probe_us=probe,
         idle_core=idle,
         entry_us=entry,
         home_us=at_home,
+        status_bytes=asyncio.run(measure_status_bytes()),
         manifest_bytes=len(encode(Changes(entries=(entry_of,)))),
         digest_bytes=len(encode(Digest(digest="0" * 16, revision=9))),
         list_change_bytes=len(encode(change)),
@@ -278,12 +338,12 @@
     """Name, core share, MB, KB/s and mechanism of each control task."""
     list_rate = LIST_CHANGES_A_DAY / DAY
     change_rate = CHANGES_A_DAY / DAY
-    busy = homes * 3 * BUSY_POLLS
+    busy = homes * 3 * REFRESHES
     yield (
         "home: polls of 2.2 groups",
         busy * slopes.probe_us / 1e6,
         2 * homes * slopes.home_kb / 1024,
-        busy * STATUS_BYTES / 1024,
+        busy * slopes.status_bytes / 1024,
         "one round serves all that wait",
     )
     yield (
--- a/bench/logic.py
+++ b/bench/logic.py
@@ -41,6 +41,11 @@
     return placement.first(database)
 
 
+def domain_of(daemon, instances):
+    """The failure domain of a daemon."""
+    return next(item.domain for item in instances if item.id == daemon)
+
+
 class Bench:
     """One node that is home of its databases, with instant upstreams."""
 
@@ -50,7 +55,7 @@
         instances = make_list(daemons)
         self.node = Node(
             daemon=owner_of(self.names[0], instances),
-            domain="fd0",
+            domain=domain_of(owner_of(self.names[0], instances), instances),
             incarnation="1",
             rng=Random(1),
         )
--- a/packages/core/gypsum_core/failover.py
+++ b/packages/core/gypsum_core/failover.py
@@ -73,6 +73,7 @@
         self.election = None
         self.inquiry = None
         self.unanswered_since = {}
+        self.heard_at = {}
         self.doubted = set()
         self.fresh_asked_at = {}
         self.leaderless_since = None
@@ -100,6 +101,7 @@
     def heard(self, upstream):
         """Note any sign of life of an upstream."""
         self.unanswered_since.pop(upstream, None)
+        self.heard_at[upstream] = self.ctx.now
         self.doubted.discard(upstream)
         if self.inquiry and self.inquiry.upstream == upstream:
             self.inquiry = None
@@ -116,6 +118,10 @@
         self.unanswered_since.setdefault(upstream, self.ctx.now)
         self.doubted.add(upstream)
 
+    def quiet_for(self, upstream):
+        """Seconds since an upstream's last sign of life, asked for or not."""
+        return self.ctx.now - self.heard_at.get(upstream, float("-inf"))
+
     def trusted(self, upstream):
         """Tell whether new work may be sent to an upstream."""
         return upstream not in self.doubted and not self.suspicious(upstream)
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -29,6 +29,7 @@
 ROUND = "round"
 DEADLINE = "deadline"
 CATCH_UP = "catch_up"
+REFRESH_PART = 0.25
 ROUND_GAP = 0.002
 CATCH_UP_GAP = 0.01
 CATCHING_UP = f"wait_{Place.CATCH_UP}"
@@ -635,13 +636,37 @@
         if self.rank != 0 and idle and not self.busy:
             self.active = False
             return
-        self.poll_once()
+        for upstream in self.view.upstreams:
+            if self.poll_due(upstream):
+                self.probe(upstream)
         self.end_idle_transactions()
         self.failover.check()
         self.pump()
         pause = tuning.idle_poll_interval if idle else tuning.poll_interval
         self.ctx.set_timer(pause, part=PART, database=self.spec.name, detail=POLL)
 
+    def poll_due(self, upstream):
+        """Tell whether a poll would teach us anything.
+
+        The primary is asked when it has said nothing for a poll's time, since that
+        may be the beginning of a silence; statements' answers are signs of life
+        too. Statuses are refreshed well within the age that reads accept. Asking
+        everyone at each poll took most of what control may cost.
+        """
+        refresh = self.refresh_interval()
+        if self.ctx.now - self.view.seen_at(upstream) >= refresh:
+            return True
+        quiet = self.failover.quiet_for(upstream)
+        leads = upstream == self.view.primary
+        return leads and quiet >= self.ctx.tuning.poll_interval
+
+    def refresh_interval(self):
+        """Seconds after which a status is asked for again."""
+        ages = [kind.max_age_ms for kind in self.spec.kinds if kind.max_age_ms > 0]
+        wanted = min(ages, default=float("inf")) / 1000 * REFRESH_PART
+        tuning = self.ctx.tuning
+        return max(tuning.poll_interval, min(tuning.idle_poll_interval, wanted))
+
     def poll_once(self):
         """Probe the whole group now: something changed."""
         for upstream in self.view.upstreams:
--- a/packages/core/gypsum_core/node.py
+++ b/packages/core/gypsum_core/node.py
@@ -59,6 +59,7 @@
         )
         self.domain = domain
         self.daemon_by_id = {}
+        self.staying = ()
         self.leaving_upstreams = frozenset()
         self.placement = Placement()
         self.orders = {}
@@ -193,7 +194,11 @@
             if item.role is InstanceRole.UPSTREAM and item.leaving
         )
         self.peers.forget(self.daemon_by_id)
-        staying = [item for item in self.daemon_by_id.values() if not item.leaving]
+        staying = tuple(item for item in self.daemon_by_id.values() if not item.leaving)
+        if staying == self.staying:
+            # Only upstreams came or went: nobody's place has changed.
+            return
+        self.staying = staying
         self.placement.update(staying or self.daemon_by_id.values())
         self.orders.clear()
         self.manifests.list_changed()
@@ -234,6 +239,8 @@
     def rank(self, database):
         """Our place in a database's order: 0 home, 1 standby, None further down."""
         leaving = sum(peer.leaving for peer in self.peers.known.values())
+        if not self.placement.may_rank(database, self.domain, RANKS + leaving):
+            return None
         order = self.placement.order(database, RANKS + leaving)
         order = [name for name in order if self.is_here(name)]
         return order.index(self.ctx.daemon) if self.ctx.daemon in order else None
--- a/packages/core/gypsum_core/placement.py
+++ b/packages/core/gypsum_core/placement.py
@@ -8,6 +8,7 @@
 
 import math
 from bisect import bisect_right
+from dataclasses import dataclass
 from functools import lru_cache
 
 from xxhash import xxh3_64_intdigest
@@ -53,11 +54,22 @@
         return found
 
 
+@dataclass(frozen=True, slots=True)
+class Draws:
+    """A database's place on the rings and its luck in each failure domain."""
+
+    position: int
+    lucks: tuple[float, ...]
+
+
 class Placement:
     """The order of daemons for each database, spread over failure domains."""
 
     def __init__(self):
         self.rings = {}
+        self.domains = ()
+        self.sizes = ()
+        self.draws = {}
 
     def update(self, daemons):
         """Take in a list of daemons; only domains that changed are built anew."""
@@ -68,6 +80,11 @@
             domain: self.ring_of(domain, frozenset(members))
             for domain, members in by_domain.items()
         }
+        domains = tuple(sorted(self.rings))
+        if domains != self.domains:
+            self.draws.clear()
+        self.domains = domains
+        self.sizes = tuple(len(self.rings[name].members) for name in domains)
 
     def ring_of(self, domain, members):
         """A domain's ring, the old one if its daemons are the same."""
@@ -82,10 +99,11 @@
         Each round takes one daemon of every failure domain, so that the second in
         the order never shares the domain of the first while there is another.
         """
-        domains = sorted(self.rings, key=lambda name: self.weight(database, name))
+        draws = self.draws_of(database)
+        domains = self.ranked_domains(draws)
         rounds = -(-length // max(1, len(domains)))
-        position = hash_of(database)
-        lines = [self.rings[name].successors(position, rounds) for name in domains]
+        wanted = domains[:length]
+        lines = [self.rings[name].successors(draws.position, rounds) for name in wanted]
         order = [
             line[rank] for rank in range(rounds) for line in lines if rank < len(line)
         ]
@@ -96,7 +114,42 @@
         order = self.order(database, 1)
         return order[0] if order else ""
 
-    def weight(self, database, domain):
+    def may_rank(self, database, domain, ranks):
+        """Tell cheaply whether a domain's daemon can be among the first `ranks`.
+
+        A daemon asks this of every database at every change of the list; for most
+        of them its failure domain alone rules it out.
+        """
+        if domain not in self.rings:
+            return False
+        if len(self.domains) <= ranks:
+            return True
+        lucks = self.draws_of(database).lucks
+        place = self.domains.index(domain)
+        own = lucks[place] / self.sizes[place]
+        before = 0
+        for luck, size in zip(lucks, self.sizes, strict=True):
+            before += luck / size < own
+        return before < ranks
+
+    def draws_of(self, database):
+        """What hashing gives a database; it changes only with the domains."""
+        draws = self.draws.get(database)
+        if draws is None:
+            lucks = tuple(
+                -math.log((hash_of(database, name) + 1) / (HASH_RANGE + 2))
+                for name in self.domains
+            )
+            draws = Draws(hash_of(database), lucks)
+            self.draws[database] = draws
+        return draws
+
+    def ranked_domains(self, draws):
         """Weighted rendezvous: a domain comes first as often as it has daemons."""
-        draw = (hash_of(database, domain) + 1) / (HASH_RANGE + 2)
-        return -math.log(draw) / len(self.rings[domain].members)
+        ranked = sorted(
+            (luck / size, name)
+            for luck, size, name in zip(
+                draws.lucks, self.sizes, self.domains, strict=True
+            )
+        )
+        return [name for _, name in ranked]
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -131,7 +131,8 @@
             daemon.wait_ready()
         self.publish_instances()
         self.write_manifest()
-        self.wait_agreed()
+        if self.daemons:
+            self.wait_agreed()
 
     def spawn(self, name, args):
         """Start a process."""
