--- a/bench/logic.py
+++ b/bench/logic.py
@@ -104,7 +104,7 @@
         """Let the owned databases learn their groups."""
         for name in self.owned:
             self.node.homes[name].activate()
-            self.node.homes[name].poll_once()
+            self.node.homes[name].watch.poll_once()
         for action in self.node.ctx.take():
             if isinstance(action, actions.Probe):
                 self.pending.append(action)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from bench.report import Figure, percentile
+from gypsum_core.admission import Admission
 from gypsum_core.fairqueue import FairQueue
-from gypsum_core.home import Home
 from gypsum_core.records import Mode
 from gypsum_core.spec import KindSpec
 from tests.fakes.world import BETWEEN_DOMAINS, JITTER, World, make_spec, put
@@ -125,8 +125,8 @@
         PLAIN_PUSH(self, item, member="all", worth=0.0, deadline=float(self.sequence))
 
     FairQueue.push = push
-    Home.admit = lambda self, job, queue, slots, service: True
-    Home.trim = lambda self, queue, member, slots, service: None
+    Admission.admit = lambda self, job, queue, slots, service: True
+    Admission.trim = lambda self, queue, member, slots, service: None
 
 
 PLAIN_PUSH = FairQueue.push
--- /dev/null
+++ b/packages/core/gypsum_core/admission.py
@@ -0,0 +1,132 @@
+"""Which requests may wait at a home, and which are refused at once."""
+
+from gypsum_core.limits import RETRY_SOON, expected_wait
+from gypsum_core.records import Reason
+
+GONE_AFTER = 3.0
+RETRY_BEHIND = 2.0
+TIME_NEEDED = 1.5
+
+
+class Admission:
+    """Refuses early what could not be answered in time."""
+
+    def __init__(self, *, home):
+        self.home = home
+        self.ctx = home.ctx
+
+    def admit_primary(self, job):
+        """Queue work for the primary, or refuse it at once."""
+        if job.writes and self.home.writes.stalled():
+            self.home.refuse(
+                job,
+                Reason.REPLICAS_BEHIND,
+                "no replica keeps up with the primary",
+                retry_after=RETRY_BEHIND,
+            )
+            return
+        if self.gone_for() > GONE_AFTER and not self.home.failover.vetoed:
+            self.home.refuse(
+                job,
+                Reason.NO_PRIMARY,
+                "the group has no primary",
+                retry_after=RETRY_SOON,
+            )
+            return
+        slots = (
+            self.home.lanes[self.home.view.primary].slots
+            if self.home.view.primary
+            else 1
+        )
+        service = self.primary_service()
+        if self.admit(job, self.home.primary_queue, slots, service):
+            self.queue_primary(job)
+            self.trim(self.home.primary_queue, job.request.member, slots, service)
+
+    def gone_for(self):
+        """Seconds without a primary that answers."""
+        since = self.home.failover.leaderless_since
+        if since is not None:
+            return self.ctx.now - since
+        if self.home.view.primary is None:
+            return 0.0
+        return self.home.failover.silence(self.home.view.primary)
+
+    def primary_service(self):
+        """Seconds that one statement takes at the primary."""
+        lane = self.home.lanes.get(self.home.view.primary)
+        return lane.service if lane else 0.0
+
+    def admit(self, job, queue, slots, service):
+        """Refuse now what could not be answered in time; tell if it may wait."""
+        member = job.request.member
+        wait = expected_wait(
+            ahead=queue.ahead_of(
+                member, worth=job.kind.worth, deadline=job.request.deadline
+            ),
+            share=queue.share(member),
+            slots=slots,
+            service=service,
+        )
+        late = self.ctx.now + wait > job.request.deadline
+        if not late and len(queue) < self.ctx.tuning.queue_limit:
+            return True
+        self.overloaded(job, wait)
+        return False
+
+    def overloaded(self, job, wait):
+        """Refuse a request that its member's queue leaves no time for."""
+        member = job.request.member
+        self.home.refuse(
+            job, Reason.OVERLOAD, f"{member}: queue is too long", retry_after=wait
+        )
+
+    def too_late(self, job, lane):
+        """Refuse a request that could not be answered any more; tell if so.
+
+        What goes wrong without it: after a failover the queue holds what is about
+        to expire, each such request takes a slot and is answered too late, and the
+        next one has expired meanwhile as well.
+        """
+        left = job.request.deadline - self.ctx.now
+        needed = lane.service if job.is_read else self.home.writes.whole_time
+        if job.maybe_run or job.request.tx or left >= TIME_NEEDED * needed:
+            return False
+        self.home.refuse(
+            job,
+            Reason.OVERLOAD,
+            "its turn came too late to answer in time",
+            retry_after=RETRY_SOON,
+        )
+        return True
+
+    def trim(self, queue, member, slots, service):
+        """Refuse what newer and worthier requests have pushed out of time.
+
+        What goes wrong without it: a request of little worth waits until its
+        deadline for a turn that never comes, and its caller learns nothing until
+        then.
+        """
+        while queue.waiting(member) > slots:
+            job = queue.last(member)
+            wait = expected_wait(
+                ahead=queue.waiting(member) - 1,
+                share=queue.share(member),
+                slots=slots,
+                service=service,
+            )
+            if job.maybe_run or self.ctx.now + wait <= job.request.deadline:
+                return
+            queue.drop_last(member)
+            if not job.closed:
+                self.overloaded(job, wait)
+
+    def queue_primary(self, job, *, first=False):
+        """Put a job into the primary's queue."""
+        job.step = "queue"
+        self.home.primary_queue.push(
+            job,
+            member=job.request.member,
+            worth=float("inf") if first else job.kind.worth,
+            deadline=job.request.deadline,
+        )
--- /dev/null
+++ b/packages/core/gypsum_core/answers.py
@@ -0,0 +1,215 @@
+"""What a home makes of the answers of upstreams."""
+
+from dataclasses import replace
+
+from gypsum_core.actions import DropConnections
+from gypsum_core.events import Failed, Ran, Settled, StatusKnown
+from gypsum_core.jobs import SLOTTED, Work
+from gypsum_core.limits import RETRY_SOON
+from gypsum_core.records import Answer, Outcome, Reason, Verb
+from gypsum_core.writedesk import answer_done
+
+
+class Answers:
+    """Turns upstreams' answers into final answers, retries or suspicion."""
+
+    def __init__(self, *, home):
+        self.home = home
+        self.ctx = home.ctx
+
+    def settle(self, job):
+        """Look a key's outcome up in the ledger instead of running the request."""
+        job.settling = True
+        job.maybe_run = True
+        self.home.admission.queue_primary(job, first=True)
+
+    def on_upstream(self, event):
+        """Take in the answer to an operation; unknown ones are late: dropped."""
+        operation = self.home.operations.pop(event.op, None)
+        if operation is None:
+            return
+        if self.home.probing.get(operation.upstream) == operation.op:
+            del self.home.probing[operation.upstream]
+        if operation.work in SLOTTED:
+            seconds = self.ctx.now - operation.sent_at
+            ran = isinstance(event, Ran | Settled)
+            self.home.lanes[operation.upstream].leave(seconds if ran else None)
+        if isinstance(event, Failed):
+            self.on_failed(operation, event)
+        elif isinstance(event, StatusKnown):
+            self.on_status(operation, event.status)
+        elif isinstance(event, Settled):
+            self.on_settled(operation, event)
+        else:
+            self.on_ran(operation, event)
+        self.home.dispatch.pump()
+
+    def on_status(self, operation, status):
+        """A status came back: from a probe or a group verb."""
+        self.home.watch.answer_asker(operation, heard=True)
+        if operation.work is Work.CLAIM:
+            self.home.claim.answered(status)
+        if operation.work is Work.PROBE and operation.fresh:
+            self.home.watch.found_silent_connections(operation.upstream)
+        self.home.learn(status, operation.sent_at)
+        if operation.work is Work.FENCE:
+            self.home.failover.fenced(status, operation.term)
+        if operation.work is Work.PROMOTE:
+            self.home.failover.promoted(status)
+        self.home.dispatch.pump()
+
+    def on_ran(self, operation, event):
+        """A statement ran at its upstream."""
+        self.home.failover.heard(operation.upstream)
+        job = operation.job
+        if operation.work is Work.READ:
+            self.answer_read(job, operation, event.result)
+        elif operation.work is Work.TX_BEGIN:
+            self.home.txdesk.opened(job, operation)
+        elif operation.work is Work.TX_RUN:
+            self.home.txdesk.ran_in_transaction(job, event.result)
+        else:
+            if operation.work is Work.TX_COMMIT:
+                self.home.transactions.drop(job.request.tx)
+            self.committed(job, operation, event.result, event.position)
+
+    def answer_read(self, job, operation, result):
+        """Answer a read with the proven age of its data."""
+        if job.closed:
+            return
+        age = max(0.0, self.ctx.now - operation.as_of)
+        current = operation.as_of >= job.arrived
+        if not current and age * 1000 > job.kind.max_age_ms:
+            # The data was young enough when it was asked for but lay about, for
+            # instance while this process was stopped. Ask for current data: that
+            # stays right however long it takes.
+            job.request = replace(job.request, current=True)
+            self.home.placing.place_read(job)
+            return
+        self.home.reads.counts.served(job, operation.upstream, self.home.view.primary)
+        self.home.finish(
+            job,
+            Answer(
+                request=job.request.id,
+                outcome=Outcome.DONE,
+                result=result,
+                served_by=operation.upstream,
+                position=operation.floor,
+                age_ms=age * 1000,
+                current=current,
+            ),
+        )
+
+    def committed(self, job, operation, result, position):
+        """A write is in the primary's log; it waits for its majority."""
+        self.home.view.observed(
+            sent_at=operation.sent_at, position=position, by=operation.upstream
+        )
+        self.home.recent.wrote(job.caller, position)
+        self.home.recent.wrote((job.request.member, ""), position)
+        if job.closed:
+            return
+        self.home.writes.add(
+            job, result=result, position=position, served_by=operation.upstream
+        )
+        self.confirm_writes()
+
+    def confirm_writes(self):
+        """Answer the writes that a majority holds by now."""
+        for job in self.home.writes.take_confirmed():
+            if job.closed:
+                continue
+            if job.settling and job.result is None:
+                self.home.refuse(
+                    job, Reason.CANCELLED, "it was not run and never will be"
+                )
+                continue
+            self.home.finish(job, answer_done(job))
+
+    def on_settled(self, operation, event):
+        """The ledger decided a key; the decision needs a majority as well."""
+        self.home.failover.heard(operation.upstream)
+        job = operation.job
+        job.settling = True
+        if job.closed:
+            return
+        self.home.writes.add(
+            job,
+            result=event.result,
+            position=event.position,
+            served_by=operation.upstream,
+        )
+        self.confirm_writes()
+
+    def on_failed(self, operation, event):
+        """An operation failed: decide whether to answer, retry or suspect."""
+        self.home.watch.answer_asker(operation, heard=False)
+        if operation.work is Work.CLAIM:
+            self.home.claim.failed()
+            self.home.watch.doubt(operation.upstream)
+        if operation.work in (Work.FENCE, Work.PROMOTE):
+            self.home.failover.verb_failed(operation.upstream, operation.term)
+        job = operation.job
+        if job is None:
+            self.home.failover.check()
+            return
+        if event.reason is not None:
+            self.home.failover.heard(operation.upstream)
+        elif not event.stale and not event.claim_lost:
+            self.home.watch.doubt(operation.upstream)
+        if operation.work in (Work.TX_RUN, Work.TX_COMMIT):
+            self.home.txdesk.transaction_failed(operation, event)
+            return
+        if job.closed:
+            return
+        if event.reason is not None:
+            self.home.refuse(job, event.reason, event.detail, peer=operation.upstream)
+            return
+        if event.silent and not self.home.failover.suspicious(operation.upstream):
+            self.ctx.emit(
+                DropConnections(
+                    database=self.home.spec.name, upstream=operation.upstream
+                )
+            )
+        if event.stale or event.claim_lost:
+            self.home.watch.lost_claim(operation.upstream)
+        if not event.sent:
+            job.maybe_run = operation.maybe_run_before
+        self.try_again(operation, event.detail)
+
+    def try_again(self, operation, detail):
+        """Requeue a job: reads are harmless, the ledger guards the writes."""
+        job = operation.job
+        if job.request.verb in (Verb.TX_QUERY, Verb.ROLLBACK):
+            self.home.refuse(
+                job, Reason.TRANSACTION_LOST, detail, peer=operation.upstream
+            )
+            return
+        if job.request.verb is Verb.COMMIT:
+            self.run_again(job)
+            return
+        if not self.home.budget.withdraw():
+            self.home.refuse(
+                job,
+                Reason.RETRY_BUDGET,
+                detail,
+                peer=operation.upstream,
+                retry_after=RETRY_SOON,
+            )
+            return
+        if job.is_read:
+            self.home.placing.place_read(job)
+            return
+        self.run_again(job)
+
+    def run_again(self, job):
+        """Queue a job whose first attempt may have taken effect.
+
+        A write runs again under its key. A commit cannot: its transaction died
+        with its connection, so only the ledger can tell what became of it.
+        """
+        if job.request.verb is Verb.COMMIT:
+            self.home.transactions.drop(job.request.tx)
+            self.settle(job)
+            return
+        self.home.admission.queue_primary(job, first=True)
--- /dev/null
+++ b/packages/core/gypsum_core/dispatch.py
@@ -0,0 +1,264 @@
+"""When a home sends what to which upstream."""
+
+from collections import deque
+
+from gypsum_core import actions
+from gypsum_core.actions import Abandon
+from gypsum_core.jobs import LASTING, Operation, Work
+from gypsum_core.ledger import ledger_row
+from gypsum_core.limits import RETRY_SOON
+from gypsum_core.readdesk import Place
+from gypsum_core.records import Reason, Verb
+
+HELD_LIMIT = 32
+FIRST_TRY_PART = 0.5
+
+
+class Dispatcher:
+    """Starts queued work where slots and proofs allow."""
+
+    def __init__(self, *, home):
+        self.home = home
+        self.ctx = home.ctx
+
+    def pump(self):
+        """Start whatever may start now."""
+        self.redirect_if_vetoed()
+        self.pump_replicas()
+        self.pump_primary()
+        if self.home.awaiting or self.home.writes.unconfirmed:
+            self.home.watch.ensure_round()
+
+    def redirect_if_vetoed(self):
+        """Pass work on to the daemon that hears the primary we do not."""
+        if not self.home.failover.vetoed:
+            return
+        waiting = (
+            self.home.primary_queue.remove_if(lambda job: True) + self.home.awaiting
+        )
+        self.home.awaiting = []
+        for job in waiting:
+            if job.closed:
+                continue
+            if job.request.hops >= self.ctx.tuning.max_hops:
+                self.home.refuse(
+                    job, Reason.NO_PRIMARY, "no daemon reaches the primary", RETRY_SOON
+                )
+                continue
+            self.home.close(job)
+            self.home.office.redirect(
+                job.origin, job.request.id, self.home.failover.deputy
+            )
+
+    def pump_replicas(self):
+        """Start queued reads at replicas with free slots."""
+        tried = 0
+        held = deque()
+        while tried < HELD_LIMIT and self.any_replica_free():
+            job = (
+                self.home.held.popleft()
+                if self.home.held
+                else self.home.replica_queue.pop()
+            )
+            if job is None:
+                break
+            if job.closed:
+                continue
+            tried += 1
+            placement = self.home.reads.place(job, self.home.claim.held)
+            if placement.place is not Place.REPLICA:
+                self.home.placing.place_read(job)
+                continue
+            upstream = self.home.reads.quickest(placement.upstreams)
+            if upstream is None:
+                held.append(job)
+                continue
+            if self.home.admission.too_late(job, self.home.lanes[upstream]):
+                continue
+            self.start_read(job, upstream)
+        held.extend(self.home.held)
+        self.home.held = held
+
+    def any_replica_free(self):
+        """Tell whether a replica has a free slot."""
+        return any(
+            lane.free
+            for name, lane in self.home.lanes.items()
+            if name != self.home.view.primary
+        )
+
+    def pump_primary(self):
+        """Start queued work at the primary while it is valid and has slots."""
+        primary = self.home.view.primary
+        if primary is None or self.home.failover.election is not None:
+            return
+        if not self.home.failover.trusted(primary):
+            return
+        lane = self.home.lanes[primary]
+        while lane.free:
+            job = (
+                self.home.urgent.popleft()
+                if self.home.urgent
+                else self.home.primary_queue.pop()
+            )
+            if job is None:
+                return
+            if job.closed:
+                self.home.txdesk.next_in_transaction(job.request.tx)
+                continue
+            if self.home.admission.too_late(job, lane):
+                continue
+            if job.is_read:
+                self.start_primary_read(job, primary)
+                continue
+            if not self.home.claim.held and not job.settling:
+                self.put_back(job)
+                self.home.watch.claim_group()
+                return
+            self.start_at_primary(job, primary)
+
+    def put_back(self, job):
+        """Return a job to the head of where it came from."""
+        if job.request.tx and not job.settling:
+            self.home.urgent.appendleft(job)
+            return
+        self.home.admission.queue_primary(job, first=True)
+
+    def start_primary_read(self, job, primary):
+        """Run a read at the primary, unless its proof has become stale."""
+        placement = self.home.reads.place(job, self.home.claim.held)
+        if placement.place is Place.PRIMARY:
+            job.why_primary = placement.why
+            self.start_read(job, primary)
+            return
+        if placement.place is Place.REPLICA:
+            upstream = self.home.reads.quickest(placement.upstreams)
+            if upstream:
+                self.start_read(job, upstream)
+                return
+            self.start_read(job, primary)
+            return
+        job.step = f"wait_{placement.place}"
+        self.home.awaiting.append(job)
+
+    def start_read(self, job, upstream):
+        """Run a read at an upstream."""
+        timeout = min(self.ctx.tuning.read_timeout, self.attempt_time(job))
+        self.start(
+            job,
+            actions.Read,
+            Work.READ,
+            upstream,
+            timeout=timeout,
+            statement=job.request.statement,
+        )
+
+    def attempt_time(self, job):
+        """Seconds for one attempt; half of what is left stays for another.
+
+        What goes wrong otherwise: a connection that has gone silent takes the
+        whole deadline with it, and a retry that would succeed comes too late.
+        """
+        left = max(0.001, job.request.deadline - self.ctx.now)
+        return left * FIRST_TRY_PART if job.attempts < 2 else left
+
+    def start_at_primary(self, job, primary):
+        """Run a write, outcome, begin, statement, commit or rollback."""
+        request = job.request
+        if job.settling or request.verb is Verb.OUTCOME:
+            self.start(job, actions.Settle, Work.SETTLE, primary, row=ledger_row(job))
+        elif request.verb is Verb.BEGIN:
+            self.home.txdesk.begin(job, primary)
+        elif request.verb is Verb.TX_QUERY:
+            self.start(
+                job,
+                actions.TxRun,
+                Work.TX_RUN,
+                primary,
+                tx=request.tx,
+                statement=request.statement,
+            )
+        elif request.verb is Verb.COMMIT:
+            self.start(
+                job,
+                actions.TxCommit,
+                Work.TX_COMMIT,
+                primary,
+                tx=request.tx,
+                row=ledger_row(job),
+                holder=self.home.claim.holder,
+            )
+        else:
+            self.start(
+                job,
+                actions.Write,
+                Work.WRITE,
+                primary,
+                statement=request.statement,
+                row=ledger_row(job),
+                holder=self.home.claim.holder,
+            )
+
+    def start(self, job, kind, work, upstream, timeout=None, **fields):
+        """Emit a slotted operation for a job."""
+        maybe_run_before = job.maybe_run
+        job.maybe_run = maybe_run_before or work in LASTING
+        job.attempts += 1
+        job.started_at = self.ctx.now
+        job.step = work.value
+        action = kind(
+            op=self.ctx.next_op(),
+            database=self.home.spec.name,
+            upstream=upstream,
+            timeout=timeout or self.attempt_time(job),
+            **fields,
+        )
+        job.op = action.op
+        self.home.operations[action.op] = Operation(
+            op=action.op,
+            work=work,
+            upstream=upstream,
+            sent_at=self.ctx.now,
+            term=self.home.view.term,
+            job=job,
+            as_of=self.home.view.as_of(upstream),
+            floor=self.home.reads.floor(job) if job.is_read else None,
+            maybe_run_before=maybe_run_before,
+        )
+        self.home.lanes[upstream].enter()
+        self.ctx.emit(action)
+
+    def outdated(self, operation):
+        """Tell whether an operation runs at a primary that leads no more."""
+        if operation.work is Work.READ and operation.job.why_primary is None:
+            return False
+        return (
+            operation.term != self.home.view.term
+            or operation.upstream != self.home.view.primary
+        )
+
+    def rescue_reads(self):
+        """Take reads back from upstreams that have gone silent.
+
+        What goes wrong without it: a read sent to a replica just before that froze
+        waits for half its deadline, though the silence is known after 0.2 s.
+        """
+        for operation in list(self.home.operations.values()):
+            silent = self.home.failover.suspicious(operation.upstream)
+            if operation.work is Work.READ and silent:
+                self.take_back(operation)
+
+    def take_back(self, operation):
+        """Abandon an operation; its late answer finds nobody waiting."""
+        self.home.operations.pop(operation.op, None)
+        self.home.lanes[operation.upstream].leave(None)
+        self.ctx.emit(
+            Abandon(
+                op=operation.op,
+                database=self.home.spec.name,
+                upstream=operation.upstream,
+                timeout=self.ctx.tuning.verb_timeout,
+            )
+        )
+        if not operation.job.closed:
+            self.home.answers.try_again(operation, "its primary was replaced")
--- a/packages/core/gypsum_core/entry.py
+++ b/packages/core/gypsum_core/entry.py
@@ -4,13 +4,13 @@
 
 from gypsum_core.actions import DropLink, Reply
 from gypsum_core.checks import check_request
+from gypsum_core.limits import RETRY_SOON
 from gypsum_core.messages import Forward
 from gypsum_core.records import Answer, Mode, Outcome, Reason, Request, Verb
 
 PART = "entry"
 CHECK_INTERVAL = 0.1
 GRACE = 0.05
-RETRY_SOON = 1.0
 IN_TRANSACTION = frozenset({Verb.TX_QUERY, Verb.COMMIT, Verb.ROLLBACK})
 
 
--- a/packages/core/gypsum_core/limits.py
+++ b/packages/core/gypsum_core/limits.py
@@ -4,6 +4,7 @@
 
 SMOOTHING = 0.1
 FIRST_GUESS = 0.005
+RETRY_SOON = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/core/gypsum_core/node.py
+++ b/packages/core/gypsum_core/node.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from gypsum_core import drain as drain_module
-from gypsum_core import entry, failover, home, manifests
+from gypsum_core import entry, failover, manifests, timers
 from gypsum_core.context import Context
 from gypsum_core.drain import Drain
 from gypsum_core.entry import Entry
@@ -41,7 +41,7 @@
 from gypsum_core.placement import Placement
 from gypsum_core.spec import DEFAULT_TUNING, InstanceRole
 
-HOME_PARTS = frozenset({home.PART, home.DEADLINE, home.CATCH_UP, failover.PART})
+HOME_PARTS = frozenset({timers.PART, timers.DEADLINE, timers.CATCH_UP, failover.PART})
 ORDER_LENGTH = 8
 RANKS = 2
 
@@ -106,7 +106,7 @@
         """Give an upstream's answer to the home that asked."""
         item = self.homes.get(event.database)
         if item is not None:
-            item.on_upstream(event)
+            item.answers.on_upstream(event)
 
     def on_message(self, peer, message):
         """Take in a message from another daemon."""
@@ -144,12 +144,12 @@
         if item is None:
             return
         if isinstance(message, AskPrimary):
-            item.asked(peer, message)
+            item.watch.asked(peer, message)
         elif isinstance(message, PrimaryHeard):
             item.failover.peer_said(peer, message)
-            item.pump()
+            item.dispatch.pump()
         elif isinstance(message, TermNews) and item.active:
-            item.poll_once()
+            item.watch.poll_once()
 
     def on_forward(self, peer, request):
         """Another daemon takes us for the home of a database."""
@@ -352,7 +352,7 @@
     def end_transactions(self):
         """Roll back the transactions that did not end in time."""
         for item in self.homes.values():
-            item.end_transactions()
+            item.txdesk.end_transactions()
 
     def busy(self):
         """Tell whether anything is still to be answered."""
--- /dev/null
+++ b/packages/core/gypsum_core/placing.py
@@ -0,0 +1,78 @@
+"""Where a home puts a read now, and when it looks again."""
+
+from gypsum_core.readdesk import CATCHING_UP, Place
+from gypsum_core.timers import CATCH_UP
+
+
+class Placing:
+    """Queues reads where they may lawfully run, or lets them wait for knowledge."""
+
+    def __init__(self, *, home):
+        self.home = home
+        self.ctx = home.ctx
+
+    def place_read(self, job):
+        """Queue a read where it may lawfully run, or wait for knowledge."""
+        placement = self.home.reads.place(job, self.home.claim.held)
+        if placement.place is Place.REPLICA:
+            if not len(self.home.replica_queue) and not self.home.held:
+                upstream = self.home.reads.quickest(placement.upstreams)
+                if upstream is not None:
+                    self.home.dispatch.start_read(job, upstream)
+                    return
+            lanes = [self.home.lanes[name] for name in placement.upstreams]
+            slots = sum(lane.slots for lane in lanes)
+            service = min(lane.service for lane in lanes)
+            if self.home.admission.admit(job, self.home.replica_queue, slots, service):
+                self.home.replica_queue.push(
+                    job,
+                    member=job.request.member,
+                    worth=job.kind.worth,
+                    deadline=job.request.deadline,
+                )
+                self.home.admission.trim(
+                    self.home.replica_queue, job.request.member, slots, service
+                )
+            return
+        if placement.place is Place.PRIMARY:
+            job.why_primary = placement.why
+            self.home.admission.admit_primary(job)
+            return
+        if placement.place is Place.CATCH_UP:
+            job.waited_replica = True
+            self.ctx.set_timer(
+                self.ctx.tuning.replica_wait,
+                part=CATCH_UP,
+                database=self.home.spec.name,
+                detail=job.request.id,
+            )
+        job.step = f"wait_{placement.place}"
+        self.home.awaiting.append(job)
+
+    def recheck(self):
+        """Place the reads that waited for knowledge again."""
+        waiting, self.home.awaiting = self.home.awaiting, []
+        for job in waiting:
+            if not job.closed:
+                self.place_again(job)
+
+    def place_again(self, job):
+        """Place a waiting read unless its bounded wait still runs."""
+        placement = self.home.reads.place(job, self.home.claim.held)
+        catching_up = job.step == CATCHING_UP and (placement.place is Place.PRIMARY)
+        stuck = placement.place in (Place.ROUND, Place.STUCK)
+        if catching_up or stuck:
+            self.home.awaiting.append(job)
+            if stuck and not self.home.claim.held and job.request.session is None:
+                self.home.watch.claim_group()
+            return
+        self.place_read(job)
+
+    def waited_enough(self, request_id):
+        """The bounded wait for a replica is over."""
+        job = self.home.jobs.get(request_id)
+        if job is None or job not in self.home.awaiting:
+            return
+        self.home.awaiting.remove(job)
+        self.place_read(job)
+        self.home.dispatch.pump()
--- a/packages/core/gypsum_core/readdesk.py
+++ b/packages/core/gypsum_core/readdesk.py
@@ -16,6 +16,9 @@
     STUCK = "stuck"
 
 
+CATCHING_UP = f"wait_{Place.CATCH_UP}"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Placement:
     """Where a read goes; `upstreams` are the lawful replicas."""
--- /dev/null
+++ b/packages/core/gypsum_core/txdesk.py
@@ -0,0 +1,188 @@
+"""Interactive transactions at a home: begin, statements, ends, losses."""
+
+from dataclasses import replace
+
+from gypsum_core import actions
+from gypsum_core.jobs import Work
+from gypsum_core.limits import RETRY_SOON
+from gypsum_core.records import Answer, Outcome, Reason, Verb
+from gypsum_core.timers import PART
+from gypsum_core.transactions import Transaction
+
+
+class TransactionDesk:
+    """Keeps each transaction on its own connection and ends it for good."""
+
+    def __init__(self, *, home):
+        self.home = home
+        self.ctx = home.ctx
+
+    def submit_to_transaction(self, job):
+        """Hand a statement, commit or rollback to its transaction."""
+        tx = self.home.transactions.find(job.request.tx, job.request.member)
+        if tx is None and job.request.verb is Verb.COMMIT:
+            self.home.answers.settle(job)
+            return
+        if tx is None:
+            self.home.refuse(job, Reason.TRANSACTION_LOST, "no such transaction here")
+            return
+        tx.waiting.append(job)
+        if not tx.busy:
+            self.next_in_transaction(tx.tx)
+
+    def begin(self, job, primary):
+        """Open a transaction, unless too many hold connections already."""
+        upstream = self.home.spec.upstream_by_id[primary]
+        limit = int(upstream.connections * self.ctx.tuning.home_share) - upstream.slots
+        if len(self.home.transactions) >= max(1, limit):
+            self.home.refuse(
+                job,
+                Reason.TRANSACTION_LIMIT,
+                "too many open transactions",
+                retry_after=RETRY_SOON,
+            )
+            return
+        name = f"{self.ctx.daemon}.{self.ctx.token()}"
+        job.request = replace(job.request, tx=name)
+        self.home.dispatch.start(job, actions.TxBegin, Work.TX_BEGIN, primary, tx=name)
+
+    def roll_back(self, job):
+        """End a transaction without its effects."""
+        tx = self.home.transactions.drop(job.request.tx)
+        if tx:
+            self.abort(tx)
+        self.home.finish(
+            job,
+            Answer(request=job.request.id, outcome=Outcome.DONE, tx=job.request.tx),
+        )
+
+    def abort(self, tx):
+        """Roll a transaction back; whoever waits in it learns at once."""
+        self.ctx.emit(
+            actions.TxAbort(
+                op=self.ctx.next_op(),
+                database=self.home.spec.name,
+                upstream=tx.upstream,
+                timeout=self.ctx.tuning.verb_timeout,
+                tx=tx.tx,
+            )
+        )
+        for job in tx.waiting:
+            self.home.refuse(job, Reason.TRANSACTION_LOST, "the transaction has ended")
+        for job in [item for item in self.home.urgent if item.request.tx == tx.tx]:
+            self.home.urgent.remove(job)
+            self.home.refuse(job, Reason.TRANSACTION_LOST, "the transaction has ended")
+
+    def opened(self, job, operation):
+        """A transaction is open; if nobody waits for it any more, end it."""
+        tx = Transaction(
+            tx=job.request.tx,
+            member=job.request.member,
+            upstream=operation.upstream,
+            term=operation.term,
+            touched=self.ctx.now,
+        )
+        if job.closed:
+            self.abort(tx)
+            return
+        self.home.transactions.add(tx)
+        self.home.finish(
+            job,
+            Answer(
+                request=job.request.id,
+                outcome=Outcome.DONE,
+                served_by=operation.upstream,
+                tx=tx.tx,
+                key=job.request.key,
+            ),
+        )
+
+    def ran_in_transaction(self, job, result):
+        """A statement of a transaction ran; the next one may go."""
+        self.home.finish(
+            job,
+            Answer(
+                request=job.request.id,
+                outcome=Outcome.DONE,
+                result=result,
+                tx=job.request.tx,
+            ),
+        )
+        self.next_in_transaction(job.request.tx)
+
+    def next_in_transaction(self, name):
+        """Start a transaction's next waiting statement."""
+        tx = self.home.transactions.open.get(name)
+        if tx is None:
+            return
+        tx.busy = False
+        tx.touched = self.ctx.now
+        while tx.waiting:
+            job = tx.waiting.popleft()
+            if job.closed:
+                continue
+            if job.request.verb is Verb.ROLLBACK:
+                self.roll_back(job)
+                return
+            tx.busy = True
+            self.home.urgent.append(job)
+            return
+
+    def transaction_failed(self, operation, event):
+        """A statement or commit failed inside a transaction."""
+        job = operation.job
+        name = job.request.tx
+        tx = self.home.transactions.open.get(name)
+        if operation.work is Work.TX_RUN and event.reason is Reason.SQL_ERROR:
+            if not job.closed:
+                self.home.refuse(
+                    job, event.reason, event.detail, peer=operation.upstream
+                )
+            self.next_in_transaction(name)
+            return
+        if tx and event.claim_lost and not job.closed:
+            self.commit_again(job, operation)
+            return
+        if tx:
+            self.home.transactions.drop(name)
+            self.abort(tx)
+        if job.closed:
+            return
+        unclear = event.sent and operation.work is Work.TX_COMMIT
+        if unclear and event.reason is None:
+            self.home.answers.settle(job)
+            return
+        job.maybe_run = operation.maybe_run_before
+        if event.stale:
+            self.home.watch.lost_claim(operation.upstream)
+        reason = event.reason or Reason.TRANSACTION_LOST
+        self.home.refuse(job, reason, event.detail, peer=operation.upstream)
+
+    def commit_again(self, job, operation):
+        """Claim the group back and repeat a commit; its transaction is still open.
+
+        What goes wrong otherwise: another home takes over, in a drain or because
+        the list changed, and every transaction open here fails at its commit.
+        """
+        job.maybe_run = operation.maybe_run_before
+        self.home.watch.lost_claim(operation.upstream)
+        self.home.urgent.append(job)
+
+    def abort_transaction_of(self, job):
+        """End the transaction whose statement outlived its caller's deadline."""
+        tx = self.home.transactions.drop(job.request.tx)
+        if tx:
+            self.abort(tx)
+
+    def end_idle_transactions(self):
+        """Roll back the transactions of callers that have gone."""
+        for tx in self.home.transactions.idle(self.ctx.now, self.ctx.tuning.tx_idle):
+            self.home.transactions.drop(tx.tx)
+            self.ctx.log(PART, f"{self.home.spec.name}: rolled back idle transaction")
+            self.abort(tx)
+
+    def end_transactions(self):
+        """Roll back all open transactions."""
+        for tx in list(self.home.transactions.open.values()):
+            self.home.transactions.drop(tx.tx)
+            self.abort(tx)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -4,6 +4,7 @@
 and expects the checker to name the promise that it breaks.
 """
 
+from gypsum_core.answers import Answers
 from gypsum_core.drain import Drain
 from gypsum_core.entry import Entry
 from gypsum_core.failover import Failover
@@ -72,7 +73,7 @@
 
 def retry_under_new_keys(patch):
     """A retry takes another key."""
-    plain = Home.run_again
+    plain = Answers.run_again
 
     def run_again(self, job):
         from dataclasses import replace
@@ -80,7 +81,7 @@
         job.request = replace(job.request, key=job.request.key + "-again")
         plain(self, job)
 
-    patch.setattr(Home, "run_again", run_again)
+    patch.setattr(Answers, "run_again", run_again)
 
 
 def ignore_leaving(patch):
--- a/tests/test_found_failures.py
+++ b/tests/test_found_failures.py
@@ -8,7 +8,7 @@
 from gypsum_core.recent import RecentWriters
 from gypsum_core.records import Outcome, Position, Status, Verb
 from tests import matrix, scenario
-from tests.fakes.world import World, put
+from tests.fakes.world import World, get, put
 from tests.invariants import done
 
 
@@ -155,3 +155,22 @@
     ]
     world.run(4)
     assert all(len(item) == 1 and done(item[0]) for item in answers)
+
+
+def test_read_at_a_frozen_replica_moves_on():
+    """
+    Symptom: a status check took half its deadline when a replica froze.
+    Sequence: a read is sent to a replica; the replica stops; the home knows it after
+    0.2 s, the read stays until its attempt times out.
+    Cause: knowing that an upstream is silent moved new work only.
+    """
+    world = World(service=0.05)
+    world.run(1)
+    group = world.groups["grid"]
+    answers = ask(world, "d0", deadline=8.0, **get("c", "t"))
+    world.run(0.02)
+    frozen = next(name for name, server in group.servers.items() if server.running)
+    group.freeze(frozen)
+    world.run(0.8)
+    assert len(answers) == 1
+    assert answers[0].served_by != frozen
