--- a/packages/core/gypsum_core/node.py
+++ b/packages/core/gypsum_core/node.py
@@ -2,10 +2,11 @@
 
 from dataclasses import replace
 
-from gypsum_core import drain as drain_module
-from gypsum_core import entry, failover, manifests, timers
+from gypsum_core import timers
 from gypsum_core.context import Context
+from gypsum_core.drain import PART as DRAIN_PART
 from gypsum_core.drain import Drain
+from gypsum_core.entry import PART as ENTRY_PART
 from gypsum_core.entry import Entry
 from gypsum_core.events import (
     CallerGone,
@@ -18,8 +19,10 @@
     TimerFired,
     UpstreamEvent,
 )
+from gypsum_core.failover import PART as FAILOVER_PART
 from gypsum_core.home import Home
 from gypsum_core.instances import Instances
+from gypsum_core.manifests import PART as MANIFEST_PART
 from gypsum_core.manifests import Manifests
 from gypsum_core.messages import (
     Answered,
@@ -41,7 +44,7 @@
 from gypsum_core.placement import Placement
 from gypsum_core.spec import DEFAULT_TUNING, InstanceRole
 
-HOME_PARTS = frozenset({timers.PART, timers.DEADLINE, timers.CATCH_UP, failover.PART})
+HOME_PARTS = frozenset({timers.PART, timers.DEADLINE, timers.CATCH_UP, FAILOVER_PART})
 ORDER_LENGTH = 8
 RANKS = 2
 
@@ -168,11 +171,11 @@
 
     def on_timer(self, timer):
         """Give a timer to the part that set it."""
-        if timer.part == entry.PART:
+        if timer.part == ENTRY_PART:
             self.entry.on_timer(timer)
-        elif timer.part == manifests.PART:
+        elif timer.part == MANIFEST_PART:
             self.manifests.on_timer(timer)
-        elif timer.part == drain_module.PART:
+        elif timer.part == DRAIN_PART:
             self.drain.check()
         elif timer.part in HOME_PARTS and timer.database in self.homes:
             self.homes[timer.database].on_timer(timer)
--- a/packages/core/gypsum_core/spec.py
+++ b/packages/core/gypsum_core/spec.py
@@ -40,6 +40,7 @@
     upstreams: tuple[UpstreamSpec, ...]
     kinds: tuple[KindSpec, ...]
     weights: tuple[tuple[str, float], ...]
+    key_hashes: tuple[tuple[str, tuple[str, ...]], ...] = ()
 
     @cached_property
     def kind_by_name(self):
@@ -51,6 +52,11 @@
         """Members' weights by their name."""
         return dict(self.weights)
 
+    @cached_property
+    def key_hashes_by_member(self):
+        """SHA-256 of the keys that speak for a member, in hexadecimal."""
+        return dict(self.key_hashes)
+
     @cached_property
     def upstream_by_id(self):
         """Upstreams by their id."""
--- a/packages/core/gypsum_core/watch.py
+++ b/packages/core/gypsum_core/watch.py
@@ -41,8 +41,9 @@
 
         The primary, and whoever has our work, is asked when it has said nothing for
         a poll's time, since that may be the beginning of a silence; statements'
-        answers are signs of life too. Statuses are refreshed well within the age that reads accept. Asking
-        everyone at each poll took most of what control may cost.
+        answers are signs of life too. Statuses are refreshed well within the age
+        that reads accept. Asking everyone at each poll took most of what control
+        may cost.
         """
         refresh = self.refresh_interval()
         if self.ctx.now - self.home.view.seen_at(upstream) >= refresh:
--- a/packages/daemon/gypsum_daemon/callers.py
+++ b/packages/daemon/gypsum_daemon/callers.py
@@ -1,5 +1,7 @@
 """The callers' HTTP interface, version 1."""
 
+import hashlib
+import hmac
 import json
 import time
 from http import HTTPStatus
@@ -17,6 +19,7 @@
 CALLER_HEADER = "Gypsum-Caller"
 DEADLINE_HEADER = "Gypsum-Deadline-Ms"
 KEY_HEADER = "Idempotency-Key"
+MEMBER_KEY_HEADER = "Gypsum-Member-Key"
 MAX_KEY = 128
 MAX_DEADLINE_MS = 600_000.0
 DEFAULT_DEADLINE_MS = 5000.0
@@ -158,6 +161,9 @@
 
     def make(self, verb, database, member, **fields):
         """A request from the headers and what its body said."""
+        self.desk.check_member(
+            database, member, self.request.headers.get(MEMBER_KEY_HEADER, "")
+        )
         key = self.request.headers.get(KEY_HEADER, "")
         if len(key) > MAX_KEY:
             raise bad_request(f"{KEY_HEADER} is longer than {MAX_KEY} characters")
@@ -301,6 +307,19 @@
                 )
             )
 
+    def check_member(self, database, member, offered):
+        """Refuse a caller that does not hold a key of the member it names."""
+        spec = self.shell.node.spec(database)
+        hashes = spec.key_hashes_by_member.get(member, ()) if spec else ()
+        digest = hashlib.sha256(offered.encode()).hexdigest()
+        # All are compared, so that the time taken tells nothing about them.
+        known = [hmac.compare_digest(digest, item) for item in hashes]
+        if hashes and not any(known):
+            raise bad_request(
+                f"{MEMBER_KEY_HEADER}: not a key of member {member!r}",
+                HTTPStatus.FORBIDDEN,
+            )
+
     def default_deadline_ms(self, database, kind):
         """The deadline that the manifest gives a kind."""
         spec = self.shell.node.spec(database)
--- a/packages/model/gypsum_model/manifest.py
+++ b/packages/model/gypsum_model/manifest.py
@@ -8,6 +8,7 @@
 from gypsum_core.spec import DatabaseSpec, KindSpec, UpstreamSpec
 from gypsum_model.base import Address, BorderModel, Name, Port, parse_model
 
+KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 Positive = Annotated[float, Field(gt=0, le=1e6)]
 
 
@@ -48,10 +49,15 @@
 
 
 class MemberModel(BorderModel):
-    """One member and its weight among the members."""
+    """One member, its weight, and hashes of the keys that speak in its name.
+
+    Only hashes are kept: whoever reads the manifest cannot speak for a member.
+    Without any the member needs no key.
+    """
 
     name: Name
     weight: Positive = 1.0
+    key_hashes: Annotated[tuple[KeyHash, ...], Field(max_length=8)] = ()
 
 
 class ManifestModel(BorderModel):
@@ -116,4 +122,5 @@
             for item in manifest.kinds
         ),
         weights=tuple((item.name, item.weight) for item in manifest.members),
+        key_hashes=tuple((item.name, item.key_hashes) for item in manifest.members),
     )
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,5 +1,6 @@
 """Starts stand-ins and daemons as processes, for process tests and the demo."""
 
+import hashlib
 import json
 import os
 import select
@@ -18,6 +19,8 @@
 START_LIMIT = 40.0
 SECRET = "not-so-secret-link"
 SESSION_KEY = "not-so-secret-session"
+MEMBER_KEY = "locked-members-key"
+MEMBER_KEY_HASH = hashlib.sha256(MEMBER_KEY.encode()).hexdigest()
 SCHEMA = """
 CREATE TABLE requests (id INTEGER PRIMARY KEY, applicant TEXT, status TEXT);
 INSERT INTO requests VALUES (1, 'first', 'filed');
@@ -268,7 +271,11 @@
                 {"name": "note", "mode": "write", "worth": 2},
                 {"name": "plan", "mode": "transaction", "worth": 5},
             ],
-            "members": [{"name": "north", "weight": 2}, {"name": "south"}],
+            "members": [
+                {"name": "north", "weight": 2},
+                {"name": "south"},
+                {"name": "locked", "key_hashes": [MEMBER_KEY_HASH]},
+            ],
         }
 
     def write_manifest(self):
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,7 +10,7 @@
 
 from gypsum_core.records import Position
 from gypsum_core.tokens import encode_token
-from tests.cluster import HOST, SESSION_KEY, call, ports
+from tests.cluster import HOST, MEMBER_KEY, SESSION_KEY, call, ports
 
 pytestmark = pytest.mark.xdist_group("bad_input")
 
@@ -106,6 +106,22 @@
     expect_problem(answer, 403, "Gypsum-Session")
 
 
+@pytest.mark.parametrize("key", ["", "another-members-key"])
+def test_member_without_its_key(cluster, key):
+    answer = cluster.query(
+        "d0", "note", INSERT, ["thief"], member="locked", Gypsum_Member_Key=key
+    )
+    expect_problem(answer, 403, "not a key of member 'locked'")
+    expect_nothing_ran(cluster, "thief")
+
+
+def test_member_with_its_key(cluster):
+    answer = cluster.query(
+        "d0", "note", INSERT, ["owner"], member="locked", Gypsum_Member_Key=MEMBER_KEY
+    )
+    assert answer.status == 200, answer.body
+
+
 def test_body_of_many_megabytes(cluster):
     huge = json.dumps({"kind": "submit", "member": "north", "sql": "x" * (8 << 20)})
     answer = cluster.post("d0", "query", huge)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,57 @@
+"""Orders of daemons: spread, balanced, and stable when daemons come and go."""
+
+from collections import Counter
+
+from gypsum_core.placement import Placement
+from gypsum_core.spec import Instance, InstanceRole
+
+DATABASES = [f"db{number}" for number in range(400)]
+
+
+def daemons(count, domains=3):
+    """Daemons over failure domains."""
+    return [
+        Instance(id=f"d{n}", role=InstanceRole.DAEMON, domain=f"fd{n % domains}")
+        for n in range(count)
+    ]
+
+
+def placed(instances):
+    """A placement of some daemons."""
+    placement = Placement()
+    placement.update(instances)
+    return placement
+
+
+def test_first_daemons_are_of_different_domains():
+    placement = placed(daemons(9))
+    domain = {item.id: item.domain for item in daemons(9)}
+    for database in DATABASES:
+        order = placement.order(database, 9)
+        assert len(set(order)) == 9
+        assert len({domain[name] for name in order[:3]}) == 3
+
+
+def test_a_lost_daemon_moves_only_its_own_databases():
+    before, after = placed(daemons(9)), placed(daemons(9)[:-1])
+    moved = [
+        name
+        for name in DATABASES
+        if before.first(name) != after.first(name) and before.first(name) != "d8"
+    ]
+    # A smaller domain comes first a little less often: that is all that may move.
+    assert len(moved) < len(DATABASES) / 10
+
+
+def test_homes_are_balanced():
+    counts = Counter(placed(daemons(9)).first(name) for name in DATABASES)
+    assert len(counts) == 9
+    assert max(counts.values()) < 2.5 * len(DATABASES) / 9
+
+
+def test_cheap_check_rules_out_nobody_who_ranks():
+    placement = placed(daemons(33, domains=11))
+    domain = {item.id: item.domain for item in daemons(33, domains=11)}
+    for database in DATABASES:
+        for name in placement.order(database, 2):
+            assert placement.may_rank(database, domain[name], 2)
