--- a/packages/core/gypsum_core/failover.py
+++ b/packages/core/gypsum_core/failover.py
@@ -10,8 +10,9 @@
 from typing import Protocol
 
 from gypsum_core.actions import Fence, Follow, Probe, Promote, RecordStatus
+from gypsum_core.election import Election
 from gypsum_core.messages import AskPrimary, TermNews
-from gypsum_core.records import Position, Status
+from gypsum_core.records import Position
 
 PART = "failover"
 REPAIR_INTERVAL = 0.5
@@ -38,18 +39,6 @@
         """Tell whether the instance list says that an upstream leaves."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Election:
-    """One attempt to install a primary at `term`."""
-
-    term: int
-    started: float
-    accepted: dict[str, Status] = field(default_factory=dict)
-    settled: set[str] = field(default_factory=set)
-    candidate: str = ""
-    unfit: str = ""
-
-
 @dataclass(slots=True, kw_only=True)
 class Inquiry:
     """The question to other daemons whether they hear the primary."""
@@ -357,31 +346,13 @@
         in at least one member, and the longest log is at least that one's.
         """
         election = self.election
-        best = max(self.candidates(), key=self.preference)
+        best = election.best(
+            majority=self.view.majority, leaving=self.home.upstream_leaving
+        )
         election.candidate = best.upstream
         self.phase = Phase.PROMOTE
         self.launch(Promote, best.upstream, term=election.term)
 
-    def candidates(self):
-        """The accepting members, less the unfit one if the rest is a majority.
-
-        What goes wrong without it: a primary that is cut from its group but not
-        from us has the longest log, an unconfirmed tail, and is promoted again
-        and again. Any majority holds all confirmed writes, so it may be left out.
-        """
-        accepted = self.election.accepted
-        others = [
-            status for name, status in accepted.items() if name != self.election.unfit
-        ]
-        if len(others) >= self.view.majority:
-            return others
-        return list(accepted.values())
-
-    def preference(self, status):
-        """Order candidates: log first, then staying ones, then the less behind."""
-        staying = not self.home.upstream_leaving(status.upstream)
-        return (status.log_end, staying, status.applied, status.upstream)
-
     def promoted(self, status):
         """The candidate leads: make the others follow and spread the news."""
         election = self.election
--- a/packages/daemon/gypsum_daemon/callers.py
+++ b/packages/daemon/gypsum_daemon/callers.py
@@ -1,7 +1,5 @@
 """The callers' HTTP interface, version 1."""
 
-import hashlib
-import hmac
 import json
 import time
 from http import HTTPStatus
@@ -11,6 +9,7 @@
 from gypsum_core.records import Outcome, Reason, Request, Statement, Verb
 from gypsum_core.tokens import TokenError, decode_token, encode_token
 from gypsum_daemon.bodies import BeginBody, EndBody, QueryBody, TxQueryBody
+from gypsum_daemon.desk import MEMBER_KEY_HEADER, Stop, bad_request
 from gypsum_daemon.problems import CONTENT_TYPE, Problem, problem_of
 from gypsum_model.base import parse_model
 from gypsum_model.errors import UserError
@@ -19,23 +18,8 @@
 CALLER_HEADER = "Gypsum-Caller"
 DEADLINE_HEADER = "Gypsum-Deadline-Ms"
 KEY_HEADER = "Idempotency-Key"
-MEMBER_KEY_HEADER = "Gypsum-Member-Key"
 MAX_KEY = 128
 MAX_DEADLINE_MS = 600_000.0
-DEFAULT_DEADLINE_MS = 5000.0
-
-
-class Stop(Exception):
-    """The request ends here with a problem."""
-
-    def __init__(self, problem):
-        super().__init__(problem.detail)
-        self.problem = problem
-
-
-def bad_request(detail, status=HTTPStatus.BAD_REQUEST):
-    """A problem of the request itself: nothing ran."""
-    return Stop(Problem(status=status, reason=str(Reason.BAD_REQUEST), detail=detail))
 
 
 @stream_request_body
@@ -284,56 +268,6 @@
         return self.make(Verb.OUTCOME, database, member)
 
 
-class Desk:
-    """What the handlers of one daemon share."""
-
-    def __init__(self, *, shell, metrics, settings):
-        self.shell = shell
-        self.metrics = metrics
-        self.max_body = settings.max_body_bytes
-        self.keys = tuple(
-            key.get_secret_value().encode() for key in settings.session_keys
-        )
-
-    def check_ready(self):
-        """Take no callers before the manifests are known."""
-        if not self.shell.node.manifests.ready:
-            raise Stop(
-                Problem(
-                    status=HTTPStatus.SERVICE_UNAVAILABLE,
-                    reason=str(Reason.NO_HOME),
-                    detail="the manifests are not known yet",
-                    retry_after_s=1.0,
-                )
-            )
-
-    def check_member(self, database, member, offered):
-        """Refuse a caller that does not hold a key of the member it names."""
-        spec = self.shell.node.spec(database)
-        hashes = spec.key_hashes_by_member.get(member, ()) if spec else ()
-        digest = hashlib.sha256(offered.encode()).hexdigest()
-        # All are compared, so that the time taken tells nothing about them.
-        known = [hmac.compare_digest(digest, item) for item in hashes]
-        if hashes and not any(known):
-            raise bad_request(
-                f"{MEMBER_KEY_HEADER}: not a key of member {member!r}",
-                HTTPStatus.FORBIDDEN,
-            )
-
-    def default_deadline_ms(self, database, kind):
-        """The deadline that the manifest gives a kind."""
-        spec = self.shell.node.spec(database)
-        if spec is None:
-            raise bad_request(f"unknown database {database!r}", HTTPStatus.NOT_FOUND)
-        known = spec.kind_by_name.get(kind)
-        return known.deadline_ms if known else DEFAULT_DEADLINE_MS
-
-    def count(self, req, answer, seconds):
-        """Count an answer."""
-        spec = self.shell.node.spec(req.database)
-        self.metrics.answered(req, spec, answer, seconds)
-
-
 def make_application(desk):
     """The callers' application."""
     database = r"/v1/([a-z0-9_-]{1,63})"
--- a/packages/daemon/gypsum_daemon/main.py
+++ b/packages/daemon/gypsum_daemon/main.py
@@ -12,7 +12,7 @@
 from tornado.netutil import bind_sockets
 
 from gypsum_daemon import callers, logs, operators
-from gypsum_daemon.callers import Desk
+from gypsum_daemon.desk import Desk
 from gypsum_daemon.feed import PlatformFeed
 from gypsum_daemon.metrics import Metrics
 from gypsum_daemon.shell import Shell
@@ -118,13 +118,20 @@
 
 
 async def shut_down(shell, feed, caller_server, operator_server):
-    """Close everything after the last answer was handed out."""
+    """Close everything after the last answer was handed out.
+
+    Each part is closed whatever became of the others; what failed is raised
+    together, so that one broken part does not hide another.
+    """
     caller_server.stop()
+    operator_server.stop()
     await asyncio.sleep(GOODBYE_SECONDS)
     feed.stop()
-    await caller_server.close_all_connections()
-    operator_server.stop()
-    await shell.close()
+    closing = (caller_server.close_all_connections(), shell.close())
+    results = await asyncio.gather(*closing, return_exceptions=True)
+    errors = [item for item in results if isinstance(item, Exception)]
+    if errors:
+        raise ExceptionGroup("shutdown", errors)
     logs.write(PART, "stopped")
 
 
@@ -140,6 +147,10 @@
     except UserError as exc:
         print(f"gypsumhitchd: {exc}", file=sys.stderr)
         return 1
+    except ExceptionGroup as group:
+        for exc in group.exceptions:
+            print(f"gypsumhitchd: {group.message}: {exc!r}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -6,15 +6,14 @@
 
 from gypsum_core.answers import Answers
 from gypsum_core.drain import Drain
+from gypsum_core.election import Election
 from gypsum_core.entry import Entry
-from gypsum_core.failover import Failover
 from gypsum_core.group import GroupView
 from gypsum_core.home import Home
 from gypsum_core.manifests import Manifests
 from gypsum_core.node import Node
 from gypsum_core.readdesk import ReadDesk
 from gypsum_core.records import Outcome
-from gypsum_core.writedesk import WriteDesk
 
 
 def forget_sessions(patch):
@@ -118,15 +117,14 @@
 def promote_anyone(patch):
     """The shortest log is promoted."""
 
-    def preference(self, status):
-        end = status.log_end
-        return (-end.term, -end.index, status.upstream)
+    def best(self, *, majority, leaving):
+        return min(self.accepted.values(), key=lambda status: status.log_end)
 
-    patch.setattr(Failover, "preference", preference)
+    patch.setattr(Election, "best", best)
 
 
-def keep_stranded_writes(patch):
-    """A write of an older term is confirmed by any later log end."""
+def confirm_across_terms(patch):
+    """Any long enough log confirms a write, whatever its term."""
 
     def confirmed(self, position, *, by):
         holders = {
@@ -138,4 +136,3 @@
         return len(holders) >= self.majority
 
     patch.setattr(GroupView, "confirmed", confirmed)
-    patch.setattr(WriteDesk, "take_stranded", lambda self: [])
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -25,6 +25,12 @@
     ("8", mutations.exit_at_once, "drain_home", "write running"),
     ("9", mutations.take_any_version, "late_listing", "read running"),
     ("A", mutations.believe_replicas, "all_replicas_apply_late", "read running"),
+    (
+        "2",
+        mutations.confirm_across_terms,
+        "partition_primary_with_one_daemon",
+        "commit done, unanswered",
+    ),
     ("2", mutations.promote_anyone, "primary_while_replica_behind", "read running"),
 ]
 
