Stand-ins listen on ports of the system's choice

Symptom: in a fresh clone, six tests of one module failed in their set-up with "u3 did not start: ''". Cause: the cluster picked free ports, let them go and had the upstreams bind them a moment later; another worker's process could take one in between. With a taken port the old stand-in ends at once with the very same empty line. Ruled out: a slow start (the line came at once, not after the limit). Change: every stand-in binds port 0 and says what it got; members learn afterwards where the others ship their logs from.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -105,6 +105,7 @@
         self.path = Path(self.folder.name)
         self.processes = []
         self.upstreams = {}
+        self.sql_ports = {}
         self.daemons = {}
         self.lag_ms = lag_ms
         self.tuning = tuning or {}
@@ -159,29 +160,28 @@
 
     def start_upstreams(self):
         """Start the group: u1 is primary, the others follow it with a lag."""
-        names = ["u1", "u2", "u3"]
-        ports = free_ports(2 * len(names))
-        self.sql_ports = dict(zip(names, ports[:3], strict=True))
-        self.ship_ports = dict(zip(names, ports[3:], strict=True))
-        for name in names:
+        for name in ("u1", "u2", "u3"):
             self.start_upstream(name, primary=name == "u1")
+        for name in self.upstreams:
+            for other, process in self.upstreams.items():
+                port = process.ready[1]
+                self.upstream_sql(name, f"CALL test_ship('{other}', {port})")
 
-    def start_upstream(self, name, *, primary, follows="u1"):
-        """Start one upstream, empty."""
+    def start_upstream(self, name, *, primary):
+        """Start one upstream, empty, on whatever ports are free."""
         cfg = {
             "id": name,
             "primary": primary,
-            "follows": "" if primary else follows,
+            "follows": "" if primary else "u1",
             "schema": SCHEMA,
-            "port": self.sql_ports[name],
-            "ship_port": self.ship_ports[name],
-            "ship": self.ship_ports,
             "apply_lag_ms": 0 if primary else self.lag_ms,
         }
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(cfg))
         args = [sys.executable, "-m", "tests.standins.upstream", str(path)]
-        self.upstreams[name] = self.spawn(name, args).wait_ready()
+        process = self.spawn(name, args).wait_ready()
+        self.upstreams[name] = process
+        self.sql_ports[name] = int(process.ready[0])
 
     def daemon_settings(self, number):
         """The settings of one daemon."""
@@ -390,19 +390,6 @@
     return dict(item.split("=") for item in process.ready[1:])
 
 
-def free_ports(count):
-    """Ports that are free now."""
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    numbers = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return numbers
-
-
 async def run_at(port, sql):
     """Run one statement at an upstream."""
     import asyncmy
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -1,8 +1,9 @@
 """A stand-in upstream: MySQL wire protocol over sqlite, with log shipping.
 
 Run it as `python -m tests.standins.upstream CONFIG.json`; it prints
-`ready SQL-PORT SHIP-PORT`. The file holds `{id, primary, schema, port, ship_port,
-ship: {id: port}}`. Test switches are statements: `CALL test_lag(SHIP_MS, APPLY_MS)`,
+`ready SQL-PORT SHIP-PORT`. The file holds `{id, primary, follows, schema}` and lags;
+`CALL test_ship('ID', PORT)` tells it where another member ships its log from. Test
+switches are statements: `CALL test_lag(SHIP_MS, APPLY_MS)`,
 `CALL test_cut('ID', 0 or 1)` cuts shipping from a member, `CALL test_mute()` makes
 all open connections silent for good. A statement with `/* sleep=MS */` takes that
 long; one with `/* lose */` in a transaction makes its COMMIT take effect unanswered.
@@ -51,7 +52,7 @@
             name=cfg["id"], schema=cfg.get("schema", ""), primary=cfg["primary"]
         )
         self.member.follows = cfg.get("follows", "")
-        self.ship_ports = cfg.get("ship", {})
+        self.ship_ports = {}
         self.ship_lag = cfg.get("ship_lag_ms", 0) / 1000
         self.apply_lag = cfg.get("apply_lag_ms", 0) / 1000
         self.cut = set()
@@ -98,7 +99,7 @@
         """Keep following whoever we were told to follow."""
         while True:
             source = self.member.follows
-            if source and source not in self.cut:
+            if source in self.ship_ports and source not in self.cut:
                 try:
                     await self.follow_once(source)
                 except (OSError, ValueError, asyncio.IncompleteReadError):
@@ -171,6 +172,8 @@
             self.apply_lag = float(args[1]) / 1000
         elif name == "test_cut":
             (self.cut.add if args[1] == "1" else self.cut.discard)(args[0])
+        elif name == "test_ship":
+            self.ship_ports[args[0]] = int(args[1])
         elif name == "test_mute":
             for session in self.sessions:
                 session.mute = True
@@ -305,9 +308,9 @@
     cfg = json.loads(Path(path).read_text())
     upstream = Upstream(cfg)
     server = MysqlServer(session_factory=lambda: UpstreamSession(upstream))
-    await server.start_server(host="127.0.0.1", port=cfg.get("port", 0))
+    await server.start_server(host="127.0.0.1", port=0)
     ship = await asyncio.start_server(
-        upstream.serve_follower, "127.0.0.1", cfg.get("ship_port", 0), limit=SHIP_LIMIT
+        upstream.serve_follower, "127.0.0.1", 0, limit=SHIP_LIMIT
     )
     sql_port = server.sockets()[0].getsockname()[1]
     print(f"ready {sql_port} {ship.sockets[0].getsockname()[1]}", flush=True)
