A position of another term confirms nothing

Cause, found by reading: the position of a write is asked for after its commit. If the primary is replaced in between, follows and has discarded the write, the position is one of the new term, a majority holds it, and the write was answered as done although no member had it. Ruled out: the matrix; its fakes told the position together with the commit, which they no longer do. Change: a position whose term is not the operation's sends the write to the ledger. Before: the new test's write was answered as done and was nowhere. After: it runs again under its key at the new primary.

--- a/packages/core/gypsum_core/answers.py
+++ b/packages/core/gypsum_core/answers.py
@@ -109,6 +109,18 @@
         self.home.recent.wrote((job.request.member, ""), position)
         if job.closed:
             return
+        self.await_majority(job, operation, result, position)
+
+    def await_majority(self, job, operation, result, position):
+        """Hold a write, or a settled key, until a majority has its position.
+
+        What goes wrong without the check: the primary is replaced between the commit
+        and the question for its position, discards the write and tells a position of
+        the new term, which a majority holds. The ledger knows what became of it.
+        """
+        if position.term != operation.term:
+            self.run_again(job)
+            return
         self.home.writes.add(
             job, result=result, position=position, served_by=operation.upstream
         )
@@ -133,13 +145,7 @@
         job.settling = True
         if job.closed:
             return
-        self.home.writes.add(
-            job,
-            result=event.result,
-            position=event.position,
-            served_by=operation.upstream,
-        )
-        self.confirm_writes()
+        self.await_majority(job, operation, event.result, event.position)
 
     def on_failed(self, operation, event):
         """An operation failed: decide whether to answer, retry or suspect."""
--- a/packages/core/gypsum_core/placing.py
+++ b/packages/core/gypsum_core/placing.py
@@ -15,40 +15,45 @@
         """Queue a read where it may lawfully run, or wait for knowledge."""
         placement = self.home.reads.place(job, self.home.claim.held)
         if placement.place is Place.REPLICA:
-            if not len(self.home.replica_queue) and not self.home.held:
-                upstream = self.home.reads.quickest(placement.upstreams)
-                if upstream is not None:
-                    self.home.dispatch.start_read(job, upstream)
-                    return
-            lanes = [self.home.lanes[name] for name in placement.upstreams]
-            slots = sum(lane.slots for lane in lanes)
-            service = min(lane.service for lane in lanes)
-            if self.home.admission.admit(job, self.home.replica_queue, slots, service):
-                self.home.replica_queue.push(
-                    job,
-                    member=job.request.member,
-                    worth=job.kind.worth,
-                    deadline=job.request.deadline,
-                )
-                self.home.admission.trim(
-                    self.home.replica_queue, job.request.member, slots, service
-                )
+            self.send_to_replica(job, placement.upstreams)
             return
         if placement.place is Place.PRIMARY:
             job.why_primary = placement.why
             self.home.admission.admit_primary(job)
             return
         if placement.place is Place.CATCH_UP:
-            job.waited_replica = True
-            self.ctx.set_timer(
-                self.ctx.tuning.replica_wait,
-                part=CATCH_UP,
-                database=self.home.spec.name,
-                detail=job.request.id,
-            )
+            self.limit_wait(job)
         job.step = f"wait_{placement.place}"
         self.home.awaiting.append(job)
 
+    def send_to_replica(self, job, upstreams):
+        """Start a read at a free replica, or queue it if there is time."""
+        if not self.home.replica_queue and not self.home.held:
+            upstream = self.home.reads.quickest(upstreams)
+            if upstream is not None:
+                self.home.dispatch.start_read(job, upstream)
+                return
+        lanes = [self.home.lanes[name] for name in upstreams]
+        slots = sum(lane.slots for lane in lanes)
+        service = min(lane.service for lane in lanes)
+        queue, member = self.home.replica_queue, job.request.member
+        if not self.home.admission.admit(job, queue, slots, service):
+            return
+        queue.push(
+            job, member=member, worth=job.kind.worth, deadline=job.request.deadline
+        )
+        self.home.admission.trim(queue, member, slots, service)
+
+    def limit_wait(self, job):
+        """Bound the wait for a replica that is about to cover a read."""
+        job.waited_replica = True
+        self.ctx.set_timer(
+            self.ctx.tuning.replica_wait,
+            part=CATCH_UP,
+            database=self.home.spec.name,
+            detail=job.request.id,
+        )
+
     def recheck(self):
         """Place the reads that waited for knowledge again."""
         waiting, self.home.awaiting = self.home.awaiting, []
--- a/tests/fakes/group.py
+++ b/tests/fakes/group.py
@@ -1,7 +1,7 @@
 """A database group in virtual time: members, log shipping, statements, faults."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gypsum_core import actions
 from gypsum_core.events import Failed, Ran, Settled, StatusKnown
@@ -190,6 +190,8 @@
             if self.servers[call.action.upstream].dead:
                 return
             self.ship(call.action.upstream)
+            # The position comes from a question asked after the commit.
+            event = replace(event, position=server.member.end)
         call.answer(event)
 
     def execute(self, server, call):
--- a/tests/test_found_failures.py
+++ b/tests/test_found_failures.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from gypsum_core.actions import Write
 from gypsum_core.claim import ClaimKeeper
 from gypsum_core.context import Context
 from gypsum_core.group import GroupView
@@ -9,7 +10,7 @@
 from gypsum_core.records import Outcome, Position, Status, Verb
 from tests import matrix, scenario
 from tests.fakes.world import World, get, put
-from tests.invariants import done
+from tests.invariants import contains, done
 
 
 def ask(world, host, **fields):
@@ -174,3 +175,48 @@
     world.run(0.8)
     assert len(answers) == 1
     assert answers[0].served_by != frozen
+
+
+def replace_primary_at_once(group):
+    """A write has committed at u1 alone; u2 leads the next term, all follow it."""
+    new = group.member("grid-u2")
+    for name in group.servers:
+        group.member(name).fence(2)
+    new.promote(2)
+    for name in ("grid-u1", "grid-u3"):
+        member = group.member(name)
+        member.follow(2, "grid-u2", group.clock.now)
+        member.cut_to(member.common_prefix([entry.term for entry in new.log]))
+        member.log.extend(new.log[len(member.log) :])
+    group.promoted.append((group.clock.now, 2, "grid-u2"))
+
+
+def test_position_of_another_term_confirms_nothing():
+    """
+    Symptom: none seen; found by reading. A write would be answered as done although
+    no member has it.
+    Sequence: it commits at a primary; before the question for its position is
+    answered the primary is replaced, follows, and has discarded the write; the
+    position it tells is the new term's, which a majority holds.
+    Cause: a position was believed whatever its term.
+    """
+    world = World()
+    world.run(1)
+    group = world.groups["grid"]
+    for server in group.servers.values():
+        server.ship_lag = 0.3
+
+    def strike(call):
+        if isinstance(call.action, Write):
+            world.hooks.clear()
+            replace_primary_at_once(group)
+            # The home hears of the new term from the replicas first.
+            world.cut(call.host.name, "grid-u2")
+            world.clock.after(0.5, world.heal)
+
+    world.hooks["committed"] = strike
+    answers = ask(world, "d0", **put("c", 1, "c"))
+    world.run(3)
+    assert len(answers) == 1
+    assert done(answers[0])
+    assert contains(group.leader(), "c", 1)
