--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -259,3 +259,23 @@
         cluster.upstreams[first].signal(signal.SIGKILL)
         wait_for(lambda: any(by != first for _, _, by in writers.acked))
     check_once(cluster, writers, "d0")
+
+
+def test_group_that_refuses_connections_is_told_truthfully(cluster):
+    for process in cluster.upstreams.values():
+        process.signal(signal.SIGKILL)
+    wrote = cluster.query(
+        "d0",
+        "submit",
+        INSERT,
+        ["nowhere"],
+        Idempotency_Key="n1",
+        Gypsum_Deadline_Ms="1500",
+    )
+    assert wrote.status in (503, 504), wrote.body
+    assert wrote.body["outcome"] == "not_run", wrote.body
+    read = cluster.query("d1", "status", COUNT, ["x"], Gypsum_Deadline_Ms="1500")
+    assert read.status in (503, 504), read.body
+    asked = cluster.query("d2", "note", INSERT, ["nowhere"], Gypsum_Deadline_Ms="30000")
+    assert asked.status == 503, asked.body
+    assert int(asked.headers["Retry-After"]) >= 1
