A draining daemon stays until the balancer has noticed

Cause: an idle daemon was gone a quarter of a second after SIGTERM, before a balancer asks again whether it is ready; requests that came while the listener closed were cut. Change: it stays for drain_notice (1 s) at least, serves what still comes, and waits for the last answers before it closes connections.

--- a/packages/core/gypsum_core/drain.py
+++ b/packages/core/gypsum_core/drain.py
@@ -34,13 +34,18 @@
         self.check()
 
     def check(self):
-        """Exit when nothing is left to answer."""
+        """Exit when nothing is left to answer and the balancer has had time to notice.
+
+        What goes wrong without that time: an idle daemon is gone before the balancer
+        has asked again whether it is ready, and new callers are refused.
+        """
         if self.exited:
             return
         waited = self.ctx.now - self.since
         if waited >= self.ctx.tuning.drain_limit:
             self.office.end_transactions()
-        if not self.office.busy() or waited >= LAST_RESORT:
+        noticed = waited >= self.ctx.tuning.drain_notice
+        if (noticed and not self.office.busy()) or waited >= LAST_RESORT:
             self.exited = True
             self.ctx.log(PART, f"over after seconds={waited:.2f}")
             self.ctx.emit(Exit())
--- a/packages/core/gypsum_core/spec.py
+++ b/packages/core/gypsum_core/spec.py
@@ -109,6 +109,7 @@
     peer_retry_after: float = 1.0
     veto_for: float = 2.0
     drain_limit: float = 5.0
+    drain_notice: float = 1.0
     tx_idle: float = 10.0
     switchover_wait: float = 1.0
     recent_writers: int = 10_000
--- a/packages/daemon/gypsum_daemon/main.py
+++ b/packages/daemon/gypsum_daemon/main.py
@@ -23,6 +23,7 @@
 PART = "daemon"
 DISCARDED_BODY_LIMIT = 1 << 28
 GOODBYE_SECONDS = 0.2
+LAST_ANSWER_LOOKS = 50
 
 
 @cappa.command(name="gypsumhitchd", help="The database proxy daemon.")
@@ -126,6 +127,7 @@
     caller_server.stop()
     operator_server.stop()
     await asyncio.sleep(GOODBYE_SECONDS)
+    await let_last_answers_out(shell)
     feed.stop()
     closing = (caller_server.close_all_connections(), shell.close())
     results = await asyncio.gather(*closing, return_exceptions=True)
@@ -135,6 +137,14 @@
     logs.write(PART, "stopped")
 
 
+async def let_last_answers_out(shell):
+    """Wait, within a bound, for requests that came while the listener closed."""
+    for _ in range(LAST_ANSWER_LOOKS):
+        if not shell.waiting:
+            return
+        await asyncio.sleep(GOODBYE_SECONDS)
+
+
 def run(command):
     """Load the settings and serve; returns the exit code."""
     try:
--- a/packages/model/gypsum_model/settings.py
+++ b/packages/model/gypsum_model/settings.py
@@ -44,6 +44,7 @@
     probe_timeout: Seconds = 0.2
     tx_idle: Seconds = 10.0
     drain_limit: Seconds = 5.0
+    drain_notice: Seconds = 1.0
 
 
 class SettingsModel(BorderModel):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -354,6 +354,10 @@
         """A daemon's metrics."""
         return call(self.operator_url(daemon, "/metrics")).body["text"]
 
+    def health(self, daemon):
+        """Whether a daemon takes callers."""
+        return call(self.operator_url(daemon, "/health/ready"))
+
     def home(self):
         """The database's home and its board."""
         order = self.explain(next(iter(self.live_daemons())))["order"]
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -150,6 +150,23 @@
     check_once(cluster, writers, cluster.live_daemons()[0])
 
 
+def test_draining_daemon_serves_until_the_balancer_has_noticed():
+    """
+    Symptom: callers were refused during a rolling restart of idle daemons.
+    Sequence: SIGTERM; nothing is in flight; the balancer asks again a moment later.
+    Cause: the daemon left as soon as it was idle.
+    """
+    with Cluster(tuning={"drain_notice": 6.0}) as cluster:
+        daemon = cluster.daemons["d2"]
+        daemon.signal(signal.SIGTERM)
+        wait_for(lambda: cluster.health("d2").status == 503)
+        time.sleep(WORK)
+        wrote = cluster.query("d2", "submit", INSERT, ["late"], Idempotency_Key="l1")
+        assert wrote.status == 200, wrote.body
+        assert wrote.headers["Connection"] == "close"
+        assert daemon.popen.wait(GAP_LIMIT) == 0
+
+
 def begin(cluster, daemon):
     """Open a transaction."""
     body = {"kind": "plan", "member": "north"}
