--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(PY) -m bench.run
 
 fuzz: setup
-	GYPSUM_FUZZ=1 $(PY) -m pytest -q tests/test_stateful.py
+	GYPSUM_FUZZ=600 $(PY) -m pytest -q tests/test_stateful.py
 
 matrix: setup
 	$(PY) -m tests.matrix
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -11,7 +11,8 @@
 
 from tests import matrix, scenario
 
-LONG = bool(os.environ.get("GYPSUM_FUZZ"))
+SEARCH_RUNS = int(os.environ.get("GYPSUM_FUZZ", "0"))
+CI_RUNS = 25
 MEMBERS = st.sampled_from(["grid-u1", "grid-u2", "grid-u3"])
 DAEMONS = st.sampled_from(["d0", "d1", "d2"])
 PLACES = st.one_of(MEMBERS, DAEMONS)
@@ -133,8 +134,8 @@
 
 
 Faults.TestCase.settings = settings(
-    derandomize=not LONG,
-    max_examples=600 if LONG else 25,
+    derandomize=not SEARCH_RUNS,
+    max_examples=SEARCH_RUNS or CI_RUNS,
     stateful_step_count=25,
     deadline=None,
     suppress_health_check=list(HealthCheck),
