--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,16 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-PACKAGES := core model platform upstream links daemon cli
+PACKAGES := packages/core packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
 
 .PHONY: setup test lint format demo bench fuzz matrix capacity clean
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet --requirement requirements.txt
-	$(PY) -m pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=--editable packages/%)
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=--editable ./%)
 	touch $(STAMP)
 
 lint: setup
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Statement sessions: callers that speak statements over a kept connection."""
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/borders.py
@@ -0,0 +1,105 @@
+"""What the session logic needs from its surroundings, as protocols."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+from gypsum_core.records import Position
+from gypsum_sessions.replies import Reply, UpstreamStatus
+from gypsum_sessions.roster import Member
+from gypsum_sessions.statements import Statement
+
+Clock = Callable[[], float]
+"""Seconds that never run backwards and count time spent suspended."""
+
+
+class EventLog(Protocol):
+    """Structured log: one call a decision."""
+
+    def __call__(self, part: str, event: str, **fields: Any) -> None:
+        """Write one line."""
+
+
+class UpstreamConn(Protocol):
+    """One open connection to an upstream; statements run in the order asked."""
+
+    alive: bool
+
+    async def ask(
+        self,
+        statement: Statement,
+        *,
+        timeout: float,
+        request: str = "",
+        after: Position | None = None,
+    ) -> Reply:
+        """Run a statement; raises UpstreamLost or UpstreamSilent.
+
+        `request` is the caller's id, empty for the proxy's own statements. With
+        `after`, an upstream whose log lacks that position refuses.
+        """
+
+    def read_status(self, reply: Reply) -> UpstreamStatus:
+        """Decode the reply to STATUS and to the replication commands."""
+
+    def close(self) -> None:
+        """Close the connection; an open transaction is rolled back."""
+
+
+class Dialer(Protocol):
+    """Opens connections to upstreams."""
+
+    async def dial(self, member: Member, *, timeout: float) -> UpstreamConn:
+        """Open a connection; raises UpstreamLost or UpstreamRefused."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromotionLease:
+    """Who may promote in a group: `token` rises with each take-over."""
+
+    holder: str
+    token: int
+    revision: int
+
+
+class LeaseError(Exception):
+    """The lease could not be read or taken; says at which step and why."""
+
+    def __init__(self, message, *, step, peer):
+        super().__init__(f"{step}: {peer}: {message}")
+        self.step = step
+        self.peer = peer
+
+
+class LeaseStore(Protocol):
+    """Keeps the promotion leases where all daemons see them."""
+
+    async def read(self, group: str) -> PromotionLease:
+        """The lease as it stands; holder empty if nobody had it yet."""
+
+    async def take(
+        self, group: str, holder: str, seen: PromotionLease
+    ) -> PromotionLease | None:
+        """Take over with the next token if the lease is still as `seen`.
+
+        None: somebody else changed it. Raises LeaseError when it is unclear.
+        """
+
+
+class PromoteOutcome(StrEnum):
+    """What became of an order to promote."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NOT_DONE = "not_done"
+    UNANSWERED = "unanswered"
+
+
+class Promoter(Protocol):
+    """Orders promotions; the order is fenced by the lease's token."""
+
+    async def promote(
+        self, group: str, upstream: str, holder: str, token: int
+    ) -> PromoteOutcome:
+        """Order that an upstream leads its group's next term."""
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -0,0 +1,140 @@
+"""One database group as this daemon works with it."""
+
+from dataclasses import dataclass
+
+from gypsum_sessions.borders import Clock, Dialer, EventLog
+from gypsum_sessions.floors import Floors
+from gypsum_sessions.leader import LeaderWatch
+from gypsum_sessions.pool import ConnPool
+from gypsum_sessions.router import Candidate
+from gypsum_sessions.tuning import SessionTuning
+from gypsum_sessions.upstreams import Upstream
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """What all groups of a daemon share.
+
+    `domain` is this daemon's failure domain; `daemons` tells how many daemons share
+    the upstreams' connections.
+    """
+
+    clock: Clock
+    dialer: Dialer
+    tuning: SessionTuning
+    log: EventLog
+    domain: str
+    daemons: "Daemons"
+
+
+class Daemons:
+    """The daemons known to run, this one included."""
+
+    def __init__(self, *, names):
+        self.names = set(names)
+
+
+class Group:
+    """Upstreams, floors and the leader of one group."""
+
+    def __init__(self, *, spec, around):
+        self.spec = spec
+        self.around = around
+        self.upstreams = {}
+        self.tasks = set()
+        self.floors = Floors(keep=around.tuning.floor_keep)
+        self.watch = LeaderWatch(
+            group=self,
+            floors=self.floors,
+            clock=around.clock,
+            dialer=around.dialer,
+            tuning=around.tuning,
+            log=around.log,
+        )
+
+    @property
+    def name(self):
+        """The group's name."""
+        return self.spec.name
+
+    def members(self):
+        """All known members."""
+        return [item.member for item in self.upstreams.values()]
+
+    def member(self, upstream):
+        """One member, or None."""
+        found = self.upstreams.get(upstream)
+        return found.member if found else None
+
+    def upstream(self, upstream):
+        """One upstream by id; KeyError if it is not known any more."""
+        return self.upstreams[upstream]
+
+    def take_members(self, members):
+        """Take in the group's members as the roster has them now."""
+        listed = {member.id: member for member in members}
+        for upstream in set(self.upstreams) - set(listed):
+            self.upstreams.pop(upstream).pool.close()
+        for member in listed.values():
+            self.take_member(member)
+
+    def take_member(self, member):
+        """Add or refresh one upstream; one that moved gets a new pool."""
+        known = self.upstreams.get(member.id)
+        if known is not None and known.member.address == member.address:
+            known.member = known.pool.member = member
+            known.pool.limit = self.connection_limit()
+            return
+        if known is not None:
+            known.pool.close()
+        pool = ConnPool(
+            member=member,
+            dialer=self.around.dialer,
+            limit=self.connection_limit(),
+            tuning=self.around.tuning,
+        )
+        self.upstreams[member.id] = Upstream(
+            member=member, pool=pool, mean=self.around.tuning.first_mean
+        )
+
+    def connection_limit(self):
+        """This daemon's share of an upstream's connections.
+
+        One share is left over, for the proofs of the leader and for a daemon that
+        replaces another before it is gone.
+        """
+        share = self.spec.max_connections // (len(self.around.daemons.names) + 1)
+        return max(self.around.tuning.least_connections, share)
+
+    def candidates(self):
+        """All upstreams as the router sees them."""
+        now = self.around.clock()
+        return [self.candidate(item, now) for item in self.upstreams.values()]
+
+    def candidate(self, item, now):
+        """One upstream as the router sees it."""
+        member = item.member
+        return Candidate(
+            id=item.id,
+            expected=item.mean,
+            ahead=item.pool.in_use,
+            slots=member.slots,
+            leads=item.id == self.watch.leader,
+            far=member.domain != self.around.domain,
+            leaving=member.leaving or member.missing_since is not None,
+            avoided=now < item.avoid_until,
+            lagging=now < item.lagging_until,
+            full=item.pool.in_use >= item.pool.limit,
+        )
+
+    def keep_tasks(self, tasks):
+        """Hold on to tasks that finish on their own."""
+        for task in tasks:
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def close(self):
+        """Close all connections."""
+        self.watch.drop_conn()
+        for item in self.upstreams.values():
+            item.pool.close()
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/jobs.py
@@ -0,0 +1,33 @@
+"""One statement on its way, and what is noted of it for the log."""
+
+from dataclasses import dataclass, field
+
+from gypsum_core.records import Position
+from gypsum_sessions.catalog import Route
+from gypsum_sessions.statements import Statement
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """A caller's statement with all that decides where it may run.
+
+    `arrived` and `deadline` are on the daemon's clock. `prepared` lists the
+    (shape, writes) that the statement needs at its upstream. `own_floor` is the
+    session's last commit.
+    """
+
+    request: str
+    statement: Statement
+    route: Route
+    arrived: float
+    deadline: float
+    values: dict[str, str]
+    prepared: tuple[tuple[str, bool], ...] = ()
+    own_floor: Position | None = None
+    tried: list[str] = field(default_factory=list)
+    floor: Position | None = None
+    floor_age: float = 0.0
+
+    def left(self, clock):
+        """Seconds until the deadline, not below zero."""
+        return max(0.0, self.deadline - clock())
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -0,0 +1,279 @@
+"""Finding out who leads a group, and proving it again and again.
+
+An upstream proves that it leads by accepting BEGIN for a writing transaction. The
+position it shows with that is a floor. One connection a group is kept for this, apart
+from the pools, so that long statements do not hold it up.
+"""
+
+import asyncio
+
+from gypsum_sessions.replies import Refusal, UpstreamError, UpstreamLost
+from gypsum_sessions.statements import BEGIN_WRITING, ROLLBACK
+
+PART = "leader"
+
+
+async def prove_leads(conn, *, timeout):
+    """Ask an upstream to prove that it leads; its position, or None if it refuses.
+
+    Raises UpstreamLost or UpstreamSilent.
+    """
+    begun, ended = await asyncio.gather(
+        conn.ask(BEGIN_WRITING, timeout=timeout),
+        conn.ask(ROLLBACK, timeout=timeout),
+        return_exceptions=True,
+    )
+    for result in (begun, ended):
+        if isinstance(result, BaseException):
+            conn.close()
+            raise result
+    if begun.ok:
+        return begun.position
+    if begun.refusal is Refusal.READ_ONLY:
+        return None
+    raise UpstreamLost(f"{begun.refusal} {begun.detail}", step="prove", peer="upstream")
+
+
+class LeaderWatch:
+    """Keeps the leader of one group proven; the source of the group's floors."""
+
+    def __init__(self, *, group, floors, clock, dialer, tuning, log):
+        self.group = group
+        self.floors = floors
+        self.clock = clock
+        self.dialer = dialer
+        self.tuning = tuning
+        self.log = log
+        self.leader = ""
+        self.conn = None
+        self.conn_to = ""
+        self.leaderless_since = None
+        self.changed = asyncio.Event()
+        self.wanted = asyncio.Event()
+        self.proofs = []
+        self.last_leader = ""
+
+    # For the rest of the daemon
+
+    async def wait_leader(self, timeout):
+        """The proven leader's id, or empty if there is none in time."""
+        deadline = self.clock() + timeout
+        while not self.leader:
+            left = deadline - self.clock()
+            if left <= 0:
+                return ""
+            await self.wait_change(left)
+        return self.leader
+
+    async def wait_change(self, timeout):
+        """Wait until the leader is found or lost."""
+        event = self.changed
+        try:
+            async with asyncio.timeout(timeout):
+                await event.wait()
+        except TimeoutError:
+            return
+
+    async def floor_since(self, not_before, timeout):
+        """A floor asked for at or after a time; None if no leader proves one."""
+        deadline = self.clock() + timeout
+        while True:
+            floor = self.floors.since(not_before)
+            if floor is not None:
+                return floor
+            left = deadline - self.clock()
+            if left <= 0:
+                return None
+            await self.wait_proof(left)
+
+    async def wait_proof(self, timeout):
+        """Ask for a proof now, and wait for it."""
+        proof = asyncio.get_running_loop().create_future()
+        self.proofs.append(proof)
+        self.wanted.set()
+        try:
+            async with asyncio.timeout(timeout):
+                await proof
+        except TimeoutError:
+            return
+        finally:
+            if proof in self.proofs:
+                self.proofs.remove(proof)
+
+    def doubt(self, upstream):
+        """A statement was refused or lost at an upstream: look at once."""
+        if upstream == self.leader:
+            self.wanted.set()
+
+    # The loop
+
+    async def run(self):
+        """Prove the leader, or search for one, for ever."""
+        while True:
+            try:
+                await self.step()
+            except UpstreamError as exc:
+                self.log(PART, "proof failed", group=self.group.name, error=str(exc))
+            await self.pause()
+
+    async def pause(self):
+        """Wait until the next proof is due or wanted."""
+        searching = not self.leader
+        delay = self.tuning.search_every if searching else self.tuning.ping_every
+        if searching:
+            await asyncio.sleep(delay)
+            return
+        try:
+            async with asyncio.timeout(delay):
+                await self.wanted.wait()
+        except TimeoutError:
+            return
+
+    async def step(self):
+        """One proof, or one round of search."""
+        self.wanted.clear()
+        target = self.leader or self.guess()
+        if target and await self.try_target(target):
+            return
+        self.lose(target)
+        await self.search()
+
+    def guess(self):
+        """Whom to ask first: who led last, else who says that it leads."""
+        known = {member.id for member in self.group.members()}
+        if self.last_leader in known and self.last_leader == self.conn_to:
+            return self.last_leader
+        claims = [item.id for item in self.group.members() if item.leads]
+        return claims[0] if claims else ""
+
+    async def try_target(self, target):
+        """Ask for a proof, on a fresh connection if the kept one is silent."""
+        for attempt in ("kept", "fresh"):
+            fresh = attempt == "fresh"
+            if fresh or self.conn_to != target or not self.conn.alive:
+                if not await self.dial(target):
+                    return False
+                fresh = True
+            asked_at = self.clock()
+            try:
+                position = await prove_leads(
+                    self.conn, timeout=self.tuning.ping_timeout
+                )
+            except UpstreamError as exc:
+                self.log(
+                    PART,
+                    "no proof",
+                    group=self.group.name,
+                    upstream=target,
+                    connection=attempt,
+                    error=str(exc),
+                )
+                self.drop_conn()
+                if fresh:
+                    return False
+                continue
+            if position is None:
+                return False
+            self.proven(target, position, asked_at)
+            return True
+        return False
+
+    async def dial(self, target):
+        """Open the connection for proofs; tell whether it worked."""
+        self.drop_conn()
+        member = self.group.member(target)
+        if member is None:
+            return False
+        try:
+            self.conn = await self.dialer.dial(member, timeout=self.tuning.dial_timeout)
+        except UpstreamError as exc:
+            self.log(
+                PART,
+                "dial failed",
+                group=self.group.name,
+                upstream=target,
+                error=str(exc),
+            )
+            return False
+        self.conn_to = target
+        return True
+
+    def drop_conn(self):
+        """Close the connection for proofs."""
+        if self.conn is not None:
+            self.conn.close()
+        self.conn = None
+        self.conn_to = ""
+
+    def proven(self, upstream, position, asked_at):
+        """An upstream has proven that it led after `asked_at`."""
+        if upstream != self.leader:
+            if upstream != self.last_leader:
+                self.floors.forget()
+            self.log(
+                PART,
+                "found",
+                group=self.group.name,
+                upstream=upstream,
+                position=str(position),
+            )
+            self.leader = self.last_leader = upstream
+            self.leaderless_since = None
+            self.announce()
+        self.floors.learn(position, asked_at)
+        for proof in self.proofs:
+            if not proof.done():
+                proof.set_result(None)
+        self.proofs = []
+
+    def lose(self, upstream):
+        """The leader, if there was one, is not proven any more."""
+        if self.leaderless_since is None:
+            self.leaderless_since = self.clock()
+        if self.leader:
+            self.log(PART, "lost", group=self.group.name, upstream=self.leader)
+            self.leader = ""
+            self.announce()
+
+    def announce(self):
+        """Wake those who wait for a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def search(self):
+        """Ask all members at once who leads; the first proof ends the search.
+
+        The others finish on their own: an upstream that does not answer would hold
+        up what a living one has told already.
+        """
+        asking = {
+            asyncio.create_task(self.ask_member(member))
+            for member in self.group.members()
+        }
+        while asking:
+            done, asking = await asyncio.wait(
+                asking, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                if task.result() is not None:
+                    self.proven(*task.result())
+                    self.group.keep_tasks(asking)
+                    return
+
+    async def ask_member(self, member):
+        """Ask one member on a pooled connection: (id, position, time asked) or None."""
+        upstream = self.group.upstream(member.id)
+        try:
+            pooled = await upstream.pool.acquire(
+                values={}, timeout=self.tuning.ping_timeout
+            )
+        except UpstreamError:
+            return None
+        asked_at = self.clock()
+        try:
+            position = await prove_leads(pooled.conn, timeout=self.tuning.ping_timeout)
+        except UpstreamError:
+            return None
+        finally:
+            upstream.pool.release(pooled)
+        return None if position is None else (member.id, position, asked_at)
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -0,0 +1,61 @@
+"""Metrics of statement sessions: a histogram for each database and kind."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0]
+
+
+class SessionMetrics:
+    """All metrics of one daemon's sessions, in a registry of its own.
+
+    Labels come from the configuration, which bounds their number.
+    """
+
+    def __init__(self):
+        self.registry = Registry()
+        self.seconds = Histogram(
+            "gypsum_statement_seconds",
+            "Time to answer a statement, by database, read rule and statement.",
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "gypsum_refusals_total",
+            "Statements without a result, by database, read rule and refusal.",
+            registry=self.registry,
+        )
+        self.state = Gauge(
+            "gypsum_sessions",
+            "Open sessions, configuration version, dropped log lines.",
+            registry=self.registry,
+        )
+        self.upstreams = Gauge(
+            "gypsum_upstream",
+            "Each upstream's open connections, connections dialled, mean seconds.",
+            registry=self.registry,
+        )
+
+    def observe(self, route, statement, reply, seconds):
+        """Count one answered statement."""
+        labels = {"database": route.database, "rule": str(route.rule)}
+        if not reply.ok:
+            self.refusals.inc({**labels, "refusal": str(reply.refusal)})
+            return
+        self.seconds.observe({**labels, "statement": str(statement.kind)}, seconds)
+
+    def take(self, proxy, dropped_lines):
+        """Refresh the gauges."""
+        self.state.set({"what": "open"}, len(proxy.sessions))
+        self.state.set({"what": "configuration"}, proxy.catalog.version)
+        self.state.set({"what": "lines_dropped"}, dropped_lines)
+        for group in proxy.groups.values():
+            for item in group.upstreams.values():
+                labels = {"group": group.name, "upstream": item.id}
+                self.upstreams.set({**labels, "what": "open"}, item.pool.opened)
+                self.upstreams.set({**labels, "what": "dials"}, item.pool.dials)
+                self.upstreams.set({**labels, "what": "mean_seconds"}, item.mean)
+
+    def render(self, accepts):
+        """The metrics in Prometheus' text form: (body, headers)."""
+        return render(self.registry, accepts)
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/pooled.py
@@ -0,0 +1,110 @@
+"""A pooled connection and the session state that the upstream keeps for it."""
+
+from dataclasses import dataclass, field
+
+from gypsum_sessions.borders import UpstreamConn
+from gypsum_sessions.replies import SessionState, UpstreamLost
+from gypsum_sessions.statements import RESET, ROLLBACK, Statement, StatementKind
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class PooledConn:
+    """A connection with the values and prepared statements set on it.
+
+    `dirty` says that its values are not known for sure; it is reset before use.
+    `prepared` holds (shape, writes) pairs; see `prepared_name`.
+    """
+
+    upstream: str
+    conn: UpstreamConn
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: set[tuple[str, bool]] = field(default_factory=set)
+    dirty: bool = False
+    in_transaction: bool = False
+
+    @property
+    def alive(self):
+        """Tell whether the connection may still be used."""
+        return self.conn.alive
+
+
+def prepared_name(shape, writes):
+    """Name of a prepared statement at upstreams: the same for all sessions.
+
+    Callers' names collide; named by what they run, they can be shared.
+    """
+    return f"{'w' if writes else 'r'}_{shape}"
+
+
+async def bring_level(pooled, values, prepared, *, timeout, prepared_limit):
+    """Set a connection's values and prepared statements to a session's.
+
+    `prepared` lists the (shape, writes) that the next statement needs. Each step is
+    awaited: were a value refused behind our back, the statement would run with
+    another session's.
+    """
+    if needs_reset(pooled, values, prepared, prepared_limit):
+        await ask_or_lose(pooled, RESET, timeout)
+        pooled.values.clear()
+        pooled.prepared.clear()
+        pooled.dirty = False
+    for name, value in values.items():
+        if pooled.values.get(name) == value:
+            continue
+        pooled.dirty = True
+        await ask_or_lose(pooled, set_value(name, value), timeout)
+        pooled.values[name] = value
+        pooled.dirty = False
+    for shape, writes in prepared:
+        if (shape, writes) in pooled.prepared:
+            continue
+        await ask_or_lose(pooled, prepare(shape, writes), timeout)
+        pooled.prepared.add((shape, writes))
+
+
+def needs_reset(pooled, values, prepared, prepared_limit):
+    """Tell whether a connection carries what the session must not see."""
+    if pooled.in_transaction:
+        return False
+    surplus = not pooled.values.keys() <= values.keys()
+    crowded = len(pooled.prepared | set(prepared)) > prepared_limit
+    return pooled.dirty or surplus or crowded
+
+
+async def ask_or_lose(pooled, statement, timeout):
+    """Run one of the proxy's own statements; any refusal loses the connection."""
+    reply = await pooled.conn.ask(statement, timeout=timeout)
+    if not reply.ok:
+        pooled.conn.close()
+        raise UpstreamLost(
+            f"{reply.refusal} {reply.detail}",
+            step=str(statement.kind),
+            peer=pooled.upstream,
+        )
+    return reply
+
+
+async def roll_back(pooled, timeout):
+    """End whatever is open; a connection that does not confirm is closed.
+
+    Closing rolls back as well, so either way nothing of the transaction is kept.
+    """
+    try:
+        reply = await pooled.conn.ask(ROLLBACK, timeout=timeout)
+    except BaseException:
+        pooled.conn.close()
+        raise
+    pooled.in_transaction = False
+    if reply.state is not SessionState.IDLE:
+        pooled.conn.close()
+
+
+def set_value(name, value):
+    """The statement that sets a session value."""
+    return Statement(kind=StatementKind.SET, name=name, argument=value)
+
+
+def prepare(shape, writes):
+    """The statement that prepares a shape under its shared name."""
+    name = prepared_name(shape, writes)
+    return Statement(kind=StatementKind.PREPARE, name=name, shape=shape, writes=writes)
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -0,0 +1,210 @@
+"""The daemon's sessions, groups and configuration, and the tasks that tend them."""
+
+import asyncio
+
+from gypsum_sessions.catalog import Catalog
+from gypsum_sessions.group import Daemons, Group, Surroundings
+from gypsum_sessions.replies import SessionState
+from gypsum_sessions.roster import Roster
+from gypsum_sessions.session import Session
+from gypsum_sessions.takeover import Takeover
+
+PART = "proxy"
+# How often idle transactions and members that left the list are looked for, seconds.
+TEND_EVERY = 0.25
+
+
+class Proxy:
+    """Everything that one daemon serves sessions with."""
+
+    def __init__(
+        self, *, name, domain, clock, dialer, leases, promoter, tuning, log, observe
+    ):
+        self.name = name
+        self.clock = clock
+        self.tuning = tuning
+        self.log = log
+        self.observe = observe
+        self.leases = leases
+        self.promoter = promoter
+        self.catalog = Catalog()
+        self.daemons = Daemons(names=[name])
+        self.roster = Roster(clock=clock, missing_grace=tuning.missing_grace)
+        self.around = Surroundings(
+            clock=clock,
+            dialer=dialer,
+            tuning=tuning,
+            log=log,
+            domain=domain,
+            daemons=self.daemons,
+        )
+        self.groups = {}
+        self.takeovers = {}
+        self.sessions = {}
+        self.callers = set()
+        self.tasks = set()
+        self.numbers = 0
+        self.roster_known = False
+        self.draining = False
+
+    # Configuration and members
+
+    @property
+    def ready(self):
+        """Tell whether callers can be served: routes and upstreams are known."""
+        return self.catalog.version >= 0 and self.roster_known and not self.draining
+
+    def offer_catalog(self, candidate, source):
+        """Bring a configuration into force if it is newer."""
+        if not self.catalog.offer(candidate):
+            return
+        self.log(
+            PART,
+            "configuration in force",
+            version=candidate.version,
+            source=source,
+            routes=len(candidate.routes),
+            groups=len(candidate.groups),
+        )
+        for spec in candidate.groups.values():
+            self.configure_group(spec)
+
+    def configure_group(self, spec):
+        """Start to work with a group, or take in its new settings."""
+        group = self.groups.get(spec.name)
+        if group is not None:
+            group.spec = spec
+            return
+        group = Group(spec=spec, around=self.around)
+        self.groups[spec.name] = group
+        self.takeovers[spec.name] = Takeover(
+            group=group, daemon=self.name, leases=self.leases, promoter=self.promoter
+        )
+        self.refresh_members(spec.name)
+        self.spawn(group.watch.run())
+        self.spawn(self.takeovers[spec.name].run())
+
+    def take_members(self, members):
+        """Take in a whole list of upstreams."""
+        self.roster.replace_all(members)
+        self.roster_known = True
+        for name in self.groups:
+            self.refresh_members(name)
+
+    def take_member(self, member):
+        """Take in one changed upstream."""
+        kept = self.roster.seen(member)
+        self.log(
+            PART,
+            "upstream listed",
+            upstream=kept.id,
+            group=kept.group,
+            address=kept.address,
+            leads=kept.leads,
+            leaving=kept.leaving,
+        )
+        self.refresh_members(kept.group)
+
+    def drop_member(self, upstream):
+        """An upstream's entry vanished from the list."""
+        self.log(PART, "upstream not listed any more", upstream=upstream)
+        self.roster.gone(upstream)
+        for name in self.groups:
+            self.refresh_members(name)
+
+    def refresh_members(self, name):
+        """Hand a group its members as the roster has them."""
+        group = self.groups.get(name)
+        if group is not None:
+            group.take_members(self.roster.of_group(name))
+
+    # Sessions
+
+    def open_session(self, database):
+        """A session for a database name, or None if no route has it."""
+        route = self.catalog.route(database)
+        if route is None:
+            return None
+        self.numbers += 1
+        session = Session(
+            number=self.numbers,
+            database=database,
+            route=route,
+            proxy=self,
+            last_active=self.clock(),
+        )
+        self.sessions[session.number] = session
+        return session
+
+    async def close_session(self, session):
+        """The caller is gone: roll back what is open."""
+        self.sessions.pop(session.number, None)
+        await session.end_transaction()
+
+    def answered(self, session, request, statement, job, reply, arrived):
+        """Log and measure one answered statement."""
+        seconds = self.clock() - arrived
+        self.observe(session.route, statement, reply, seconds)
+        if job is None and reply.ok:
+            return
+        fields = {"statement": str(statement.kind), "ms": round(seconds * 1000, 1)}
+        if hasattr(job, "tried"):
+            fields["upstreams"] = job.tried
+            if job.floor is not None:
+                fields["floor"] = f"{job.floor.term}.{job.floor.index}"
+                fields["floor_age_ms"] = round(job.floor_age * 1000)
+        if not reply.ok:
+            fields["refusal"] = str(reply.refusal)
+            fields["detail"] = reply.detail
+        self.log(
+            "request",
+            "answered" if reply.ok else "refused",
+            request=request,
+            session=session.number,
+            database=session.database,
+            version=self.catalog.version,
+            **fields,
+        )
+
+    # Tasks
+
+    def spawn(self, work):
+        """Run a coroutine until the daemon stops."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finished)
+
+    def finished(self, task):
+        """A task ended; one that failed must not pass unseen."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log(PART, "task failed", error=repr(task.exception()))
+
+    async def tend(self):
+        """End idle transactions and drop members that are gone, for ever."""
+        while True:
+            await asyncio.sleep(TEND_EVERY)
+            for member in self.roster.expire():
+                self.log(PART, "upstream gone", upstream=member.id)
+                self.refresh_members(member.group)
+            await self.end_idle_transactions()
+
+    async def end_idle_transactions(self):
+        """Roll back transactions whose callers have been silent for too long."""
+        current = self.catalog.current
+        if current is None:
+            return
+        limit = self.clock() - current.transaction_idle
+        for session in list(self.sessions.values()):
+            if session.running or session.state is not SessionState.IN_TRANSACTION:
+                continue
+            if session.last_active < limit:
+                self.log(PART, "idle transaction ended", session=session.number)
+                await session.abort_open()
+
+    def stop(self):
+        """Cancel all tasks and close all connections."""
+        for task in list(self.tasks):
+            task.cancel()
+        for group in self.groups.values():
+            group.close()
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -0,0 +1,182 @@
+"""Single reads: a floor, an order of upstreams, and a second try when one is slow."""
+
+import asyncio
+from dataclasses import dataclass
+
+from gypsum_sessions.catalog import ReadRule
+from gypsum_sessions.floors import later
+from gypsum_sessions.pooled import bring_level
+from gypsum_sessions.replies import Refusal, Reply, UpstreamError
+from gypsum_sessions.router import order_for_read
+
+PART = "read"
+# Refusals that another upstream may well answer differently.
+ELSEWHERE = frozenset(
+    {
+        Refusal.BUSY,
+        Refusal.LAGGING,
+        Refusal.CONNECTION_LIMIT,
+        Refusal.WRONG_UPSTREAM,
+        Refusal.UNKNOWN_NAME,
+        Refusal.FAILED,
+        Refusal.TIMEOUT,
+        Refusal.READ_ONLY,
+    }
+)
+# When all upstreams refused, the next round starts after this many seconds.
+ROUND_PAUSE = 0.02
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """What one upstream made of a read; `reply` is None if it gave none."""
+
+    upstream: str
+    reply: Reply | None
+    detail: str = ""
+
+    @property
+    def final(self):
+        """Tell whether the caller gets this."""
+        return self.reply is not None and self.reply.refusal not in ELSEWHERE
+
+
+async def find_floor(group, job):
+    """Set the position that the job's read has to show; False if none is proven."""
+    around = group.around
+    wait = job.left(around.clock) * around.tuning.leader_wait_share
+    floor = await group.watch.floor_since(job.arrived - job.route.max_age, wait)
+    if floor is None:
+        return False
+    job.floor_age = around.clock() - floor.asked_at
+    job.floor = later(floor.position, job.own_floor)
+    return True
+
+
+async def run_read(group, job):
+    """Run a read wherever it lawfully may; returns the caller's reply."""
+    if not await find_floor(group, job):
+        return no_leader(group.around.tuning)
+    while job.left(group.around.clock) > 0:
+        attempt = await race(group, job)
+        if attempt is not None and attempt.final:
+            return attempt.reply
+        await asyncio.sleep(ROUND_PAUSE)
+    return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
+
+
+async def race(group, job):
+    """One round over the upstreams: the next is asked when one refuses or is slow.
+
+    Returns the first final attempt, else the last one, None if there was none.
+    """
+    order = upstream_order(group, job)
+    running, last = set(), None
+    while order or running:
+        if order:
+            running.add(start_attempt(group, job, order.pop(0)))
+        wait = hedge_delay(group, job) if order else job.left(group.around.clock)
+        done, running = await asyncio.wait(
+            running, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            last = task.result()
+            if last.final:
+                group.keep_tasks(running)
+                return last
+        if job.left(group.around.clock) <= 0:
+            break
+    group.keep_tasks(running)
+    return last
+
+
+def start_attempt(group, job, upstream):
+    """Ask one upstream in a task of its own."""
+    job.tried.append(upstream)
+    return asyncio.create_task(attempt_read(group, job, group.upstreams[upstream]))
+
+
+def upstream_order(group, job):
+    """Upstreams in the order in which they are asked."""
+    order = order_for_read(group.candidates(), far_cost=group.around.tuning.far_cost)
+    if job.route.rule is ReadRule.PRIMARY and group.watch.leader in order:
+        order.remove(group.watch.leader)
+        order.insert(0, group.watch.leader)
+    return order
+
+
+def hedge_delay(group, job):
+    """Seconds after which a second upstream is asked as well."""
+    tuning = group.around.tuning
+    last = group.upstreams.get(job.tried[-1]) if job.tried else None
+    mean = last.mean if last else tuning.first_mean
+    delay = max(tuning.hedge_floor, tuning.hedge_factor * mean)
+    return min(delay, job.left(group.around.clock))
+
+
+async def attempt_read(group, job, item):
+    """Ask one upstream; never raises an UpstreamError."""
+    around, clock = group.around, group.around.clock
+    try:
+        pooled = await item.pool.acquire(
+            values=job.values, timeout=job.left(clock) or around.tuning.ping_timeout
+        )
+    except UpstreamError as exc:
+        item.failed(clock(), around.tuning)
+        return Attempt(upstream=item.id, reply=None, detail=str(exc))
+    try:
+        reply = await ask_read(group, job, item, pooled)
+    except UpstreamError as exc:
+        item.failed(clock(), around.tuning)
+        group.watch.doubt(item.id)
+        around.log(
+            PART,
+            "attempt failed",
+            request=job.request,
+            upstream=item.id,
+            error=str(exc),
+        )
+        return Attempt(upstream=item.id, reply=None, detail=str(exc))
+    finally:
+        item.pool.release(pooled)
+    return Attempt(upstream=item.id, reply=reply)
+
+
+async def ask_read(group, job, item, pooled):
+    """Run the read on a connection and note what it tells of the upstream."""
+    around, clock = group.around, group.around.clock
+    await bring_level(
+        pooled,
+        job.values,
+        job.prepared,
+        timeout=around.tuning.command_timeout,
+        prepared_limit=around.tuning.prepared_limit,
+    )
+    started = clock()
+    reply = await pooled.conn.ask(
+        job.statement,
+        timeout=max(job.left(clock), around.tuning.ping_timeout),
+        request=job.request,
+        after=job.floor,
+    )
+    if reply.ok:
+        item.answered(clock() - started, reply.position, around.tuning)
+    note_refusal(around, item, pooled, reply)
+    return reply
+
+
+def note_refusal(around, item, pooled, reply):
+    """Draw conclusions from a refused read."""
+    if reply.refusal is Refusal.LAGGING:
+        item.lagging_until = around.clock() + around.tuning.lagging_rest
+    if reply.refusal is Refusal.UNKNOWN_NAME:
+        pooled.dirty = True
+
+
+def no_leader(tuning):
+    """The refusal of work that needs a leader while there is none."""
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail="not run, the group has no proven primary",
+        retry_after_ms=tuning.retry_after_ms,
+    )
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/roster.py
@@ -0,0 +1,71 @@
+"""Upstreams of each group, as the lagging list tells, with a grace for gaps."""
+
+from dataclasses import dataclass, replace
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One upstream. `leads` is what it says of itself, late at times.
+
+    `missing_since` and `leaving_since` are on the daemon's clock, None if neither.
+    """
+
+    id: str
+    group: str
+    address: str
+    domain: str
+    slots: int
+    leads: bool = False
+    leaving: bool = False
+    leaving_since: float | None = None
+    missing_since: float | None = None
+
+
+class Roster:
+    """All known upstreams."""
+
+    def __init__(self, *, clock, missing_grace):
+        self.clock = clock
+        self.missing_grace = missing_grace
+        self.members = {}
+
+    def seen(self, member):
+        """Take in an entry of the list; returns it as it is kept."""
+        known = self.members.get(member.id)
+        since = known.leaving_since if known else None
+        if member.leaving and since is None:
+            since = self.clock()
+        kept = replace(member, leaving_since=since if member.leaving else None)
+        self.members[member.id] = kept
+        return kept
+
+    def gone(self, upstream):
+        """An entry vanished: the upstream left, or the store lost its lease."""
+        known = self.members.get(upstream)
+        if known is None or known.missing_since is not None:
+            return
+        self.members[upstream] = replace(known, missing_since=self.clock())
+
+    def replace_all(self, members):
+        """Take in a whole list: what it lacks is missing."""
+        listed = {member.id for member in members}
+        for member in members:
+            self.seen(member)
+        for upstream in set(self.members) - listed:
+            self.gone(upstream)
+
+    def expire(self):
+        """Drop members that have been missing for the whole grace; returns them."""
+        limit = self.clock() - self.missing_grace
+        expired = [
+            member
+            for member in self.members.values()
+            if member.missing_since is not None and member.missing_since <= limit
+        ]
+        for member in expired:
+            del self.members[member.id]
+        return expired
+
+    def of_group(self, group):
+        """Members of a group, missing ones within their grace included."""
+        return [item for item in self.members.values() if item.group == group]
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/session.py
@@ -0,0 +1,234 @@
+"""One caller's session: its values, prepared statements, transaction and floor."""
+
+from dataclasses import dataclass, field
+
+from gypsum_core.records import Position
+from gypsum_sessions import transactions
+from gypsum_sessions.catalog import Route
+from gypsum_sessions.floors import later
+from gypsum_sessions.jobs import Job
+from gypsum_sessions.pooled import prepared_name
+from gypsum_sessions.reads import run_read
+from gypsum_sessions.replies import Refusal, Reply, SessionState
+from gypsum_sessions.statements import Statement, StatementKind
+from gypsum_sessions.transactions import Transaction
+from gypsum_sessions.writes import run_write
+
+PART = "request"
+RUN_AT_UPSTREAM = frozenset(
+    {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE}
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prepared:
+    """What a caller prepared under a name of its own."""
+
+    shape: str
+    writes: bool
+
+
+@dataclass(slots=True, kw_only=True)
+class Session:
+    """A session; `catalog` and `groups` are the daemon's, shared by all sessions.
+
+    `own_floor` is the position of the session's last commit. `last_active` is when
+    the last statement ended.
+    """
+
+    number: int
+    database: str
+    route: Route
+    proxy: object
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, Prepared] = field(default_factory=dict)
+    state: SessionState = SessionState.IDLE
+    tx: Transaction | None = None
+    own_floor: Position | None = None
+    last_active: float = 0.0
+    running: bool = False
+
+    async def run(self, request, statement):
+        """Run one statement; returns the whole reply for the caller."""
+        clock = self.proxy.clock
+        arrived = clock()
+        self.running = True
+        job = None
+        try:
+            if self.state is SessionState.FAILED:
+                reply = await self.run_failed(statement)
+            elif statement.kind in RUN_AT_UPSTREAM:
+                job = self.make_job(request, statement, arrived)
+                reply = job if isinstance(job, Reply) else await self.run_job(job)
+            elif statement.kind is StatementKind.COMMIT:
+                reply = await self.commit(request, statement, arrived)
+            else:
+                reply = await self.run_here(statement, arrived)
+        finally:
+            self.running = False
+            self.last_active = clock()
+        self.proxy.answered(self, request, statement, job, reply, arrived)
+        return reply
+
+    # Statements that the proxy answers itself
+
+    async def run_here(self, statement, arrived):
+        """BEGIN, ROLLBACK and what belongs to the session alone."""
+        match statement.kind:
+            case StatementKind.BEGIN:
+                return self.begin(statement, arrived)
+            case StatementKind.ROLLBACK:
+                return await self.roll_back()
+            case StatementKind.SET:
+                self.values[statement.name] = statement.argument
+                if self.tx is not None:
+                    self.tx.values_set = True
+            case StatementKind.PREPARE:
+                self.prepared[statement.name] = Prepared(
+                    shape=statement.shape, writes=statement.writes
+                )
+            case StatementKind.DEALLOCATE:
+                if self.prepared.pop(statement.name, None) is None:
+                    return self.refuse(Refusal.UNKNOWN_NAME, statement.name)
+            case _:
+                return self.refuse(Refusal.MALFORMED, "not a caller's statement")
+        return Reply(state=self.state)
+
+    def begin(self, statement, arrived):
+        """Begin a transaction under the route in force now."""
+        if self.tx is not None:
+            return self.refuse(Refusal.MALFORMED, "a transaction is open already")
+        route = self.current_route()
+        if route is None:
+            return self.refuse(Refusal.UNKNOWN_DATABASE, self.database)
+        self.tx = Transaction(route=route, writes=statement.writes, arrived=arrived)
+        self.state = SessionState.IN_TRANSACTION
+        return Reply(state=self.state)
+
+    async def roll_back(self):
+        """ROLLBACK: nothing of the transaction is kept."""
+        if self.tx is None:
+            return self.refuse(Refusal.MALFORMED, "no transaction is open")
+        await self.end_transaction()
+        return Reply(state=self.state)
+
+    async def run_failed(self, statement):
+        """In a failed transaction only its end is accepted."""
+        if statement.kind not in (StatementKind.ROLLBACK, StatementKind.COMMIT):
+            return self.refuse(Refusal.MALFORMED, "the transaction has failed")
+        await self.end_transaction()
+        if statement.kind is StatementKind.COMMIT:
+            return self.refuse(Refusal.ABORTED, "the transaction was rolled back")
+        return Reply(state=self.state)
+
+    # Statements that upstreams run
+
+    def make_job(self, request, statement, arrived):
+        """The job of a statement, or the refusal of one that cannot run."""
+        route = self.tx.route if self.tx else self.current_route()
+        if route is None:
+            return self.refuse(Refusal.UNKNOWN_DATABASE, self.database)
+        needed = ()
+        if statement.kind is StatementKind.EXECUTE:
+            known = self.prepared.get(statement.name)
+            if known is None:
+                return self.refuse(Refusal.UNKNOWN_NAME, statement.name)
+            needed = ((known.shape, known.writes),)
+            statement = Statement(
+                kind=statement.kind,
+                name=prepared_name(known.shape, known.writes),
+                argument=statement.argument,
+                writes=known.writes,
+            )
+        return Job(
+            request=request,
+            statement=statement,
+            route=route,
+            arrived=self.tx.arrived if self.tx else arrived,
+            deadline=arrived + route.statement_timeout,
+            values=self.values,
+            prepared=needed,
+            own_floor=self.own_floor,
+        )
+
+    async def run_job(self, job):
+        """Run a job in the open transaction or on its own."""
+        group = self.proxy.groups.get(job.route.group)
+        if group is None:
+            return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
+        if self.tx is not None:
+            return await self.run_inside(group, job)
+        if job.statement.writes:
+            reply = await run_write(group, job)
+            if reply.ok:
+                self.own_floor = later(self.own_floor, reply.position)
+            return self.outside(reply)
+        return self.outside(await run_read(group, job))
+
+    async def run_inside(self, group, job):
+        """Run a job inside the open transaction."""
+        reply = await transactions.run_in_transaction(group, self.tx, job)
+        if not reply.ok:
+            self.state = SessionState.FAILED
+        return with_state(reply, self.state)
+
+    async def commit(self, request, statement, arrived):
+        """COMMIT: kept, not kept, or in doubt; the transaction is over either way."""
+        if self.tx is None:
+            return self.refuse(Refusal.MALFORMED, "no transaction is open")
+        job = self.make_job(request, statement, arrived)
+        group = self.proxy.groups.get(job.route.group)
+        tx, self.tx = self.tx, None
+        self.state = SessionState.IDLE
+        if group is None:
+            return self.refuse(Refusal.ABORTED, "the group is not known")
+        reply = await transactions.commit(group, tx, job)
+        if reply.ok and tx.wrote:
+            self.own_floor = later(self.own_floor, reply.position)
+        return self.outside(reply)
+
+    # Ends
+
+    async def end_transaction(self):
+        """Roll back what is open."""
+        tx, self.tx = self.tx, None
+        self.state = SessionState.IDLE
+        if tx is None or tx.pooled is None:
+            return
+        await transactions.close(self.proxy.groups.get(tx.route.group), tx)
+
+    async def abort_open(self):
+        """End an open transaction from our side; the caller learns of it later."""
+        if self.tx is None or self.state is SessionState.FAILED:
+            return
+        if self.tx.pooled is not None:
+            group = self.proxy.groups.get(self.tx.route.group)
+            await transactions.close(group, self.tx)
+        self.state = SessionState.FAILED
+
+    # Small things
+
+    def current_route(self):
+        """The route in force now, or None if it was removed."""
+        return self.proxy.catalog.route(self.database)
+
+    def refuse(self, refusal, detail):
+        """A refusal by the proxy itself."""
+        return Reply(refusal=refusal, detail=detail, state=self.state)
+
+    def outside(self, reply):
+        """A reply outside transactions, whatever the upstream's connection is in."""
+        return with_state(reply, SessionState.IDLE)
+
+
+def with_state(reply, state):
+    """A reply with the session's state instead of the upstream connection's."""
+    return Reply(
+        rows=reply.rows,
+        proof=reply.proof,
+        refusal=reply.refusal,
+        detail=reply.detail,
+        state=state,
+        position=reply.position,
+        retry_after_ms=reply.retry_after_ms,
+    )
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -0,0 +1,65 @@
+"""Limits and timings of statement sessions, in seconds unless the name says else."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SessionTuning:
+    """All of them; each line says where its figure comes from."""
+
+    # A leader is asked this often when nothing else asks it: a third of the
+    # shortest useful time to notice a dead one.
+    ping_every: float = 0.25
+    # Round trips between failure domains take 2 ms, so 0.3 s is silence.
+    ping_timeout: float = 0.3
+    # Opening costs up to 30 ms at an upstream that has a free slot.
+    dial_timeout: float = 0.4
+    # Pause between looks at a group without a leader; a promotion takes 0.3 to 1 s.
+    search_every: float = 0.1
+    # A primary unreachable on fresh connections for this long is replaced. Above
+    # it, a replacement costs less than waiting; below, a hiccup would depose it.
+    suspect_after: float = 0.7
+    # A daemon further down the order waits this much longer per place.
+    rank_delay: float = 0.8
+    # Nobody takes a lease over that changed hands more recently.
+    lease_rest: float = 3.0
+    # A promotion that was ordered shows within the platform's time plus a margin.
+    promotion_wait: float = 3.0
+    # Commands to upstreams: one round trip and a slot.
+    command_timeout: float = 0.5
+    # A read that takes this many times its usual time is asked elsewhere too.
+    hedge_factor: float = 6.0
+    # ... but not before the tail of ordinary work has passed.
+    hedge_floor: float = 0.25
+    # Floors older than the longest allowed age are of no use to anyone.
+    floor_keep: float = 30.0
+    # Share of a request's allowed time that it may wait for a leader: the rest is
+    # for the work itself.
+    leader_wait_share: float = 0.85
+    # Connections that a daemon may hold to one upstream, at least.
+    least_connections: int = 2
+    # A member that left the list is still known for this long, so that entries
+    # that the store lost in an outage can come back.
+    missing_grace: float = 2.5
+    # An upstream that gave no answer is left alone for this long, doubling.
+    avoid_first: float = 0.5
+    avoid_most: float = 4.0
+    # A replica that lacked a position is not asked for one for this long.
+    lagging_rest: float = 0.05
+    # Weight of the newest sample in an upstream's mean time.
+    mean_weight: float = 0.1
+    # A statement's usual time before any was seen: the workloads' mean.
+    first_mean: float = 0.03
+    # Extra cost of an upstream in another failure domain: a round trip.
+    far_cost: float = 0.002
+    # Prepared statements a connection may carry before it is reset.
+    prepared_limit: int = 200
+    # Callers are told to come back after this when nobody leads.
+    retry_after_ms: int = 500
+    # ... and after this when there was merely no free connection.
+    busy_retry_after_ms: int = 100
+    # Work still sent to a leaving upstream: the part of its drain time used.
+    drain_share: float = 0.6
+
+
+DEFAULT_SESSION_TUNING = SessionTuning()
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/upstreams.py
@@ -0,0 +1,46 @@
+"""What this daemon knows of each upstream: its speed, its answers, its pool."""
+
+from dataclasses import dataclass
+
+from gypsum_core.records import Position
+from gypsum_sessions.pool import ConnPool
+from gypsum_sessions.roster import Member
+
+
+@dataclass(slots=True, kw_only=True)
+class Upstream:
+    """One upstream as seen from here.
+
+    `mean` is the mean time of a statement in seconds, `avoid_until` and
+    `lagging_until` times before which others are asked first, `position` the last
+    log position it showed.
+    """
+
+    member: Member
+    pool: ConnPool
+    mean: float
+    avoid_until: float = 0.0
+    avoid_for: float = 0.0
+    lagging_until: float = 0.0
+    position: Position | None = None
+
+    @property
+    def id(self):
+        """The upstream's id."""
+        return self.member.id
+
+    def answered(self, seconds, position, tuning):
+        """Note an answer and the time it took."""
+        self.mean += tuning.mean_weight * (seconds - self.mean)
+        self.position = position or self.position
+        self.avoid_for = 0.0
+        self.avoid_until = 0.0
+
+    def failed(self, now, tuning):
+        """Note a lost connection or a silence; the pause doubles."""
+        if now < self.avoid_until:
+            return
+        self.avoid_for = min(
+            max(tuning.avoid_first, 2 * self.avoid_for), tuning.avoid_most
+        )
+        self.avoid_until = now + self.avoid_for
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -0,0 +1,133 @@
+"""Single writes: run at the leader, at most once."""
+
+import asyncio
+
+from gypsum_sessions.pooled import bring_level
+from gypsum_sessions.reads import no_leader
+from gypsum_sessions.replies import (
+    NOT_RUN,
+    Refusal,
+    Reply,
+    UpstreamError,
+    UpstreamLost,
+    UpstreamSilent,
+)
+from gypsum_sessions.statements import ROLLBACK
+
+PART = "write"
+# Pause after a refusal by the leader, seconds: its queue is full or it steps down.
+REFUSED_PAUSE = 0.03
+# A connection that was quiet for longer is tried before a write goes over it.
+QUIET_LIMIT = 0.5
+
+
+class NotSent(Exception):
+    """The statement was not sent; another try is safe."""
+
+
+async def run_write(group, job):
+    """Run a write; it is tried again only while it provably has not run."""
+    around, clock = group.around, group.around.clock
+    wait_until = clock() + job.left(clock) * around.tuning.leader_wait_share
+    last = None
+    while clock() < wait_until:
+        leader = await group.watch.wait_leader(wait_until - clock())
+        if not leader or leader not in group.upstreams:
+            break
+        job.tried.append(leader)
+        try:
+            reply = await try_write(group, job, group.upstreams[leader])
+        except NotSent as exc:
+            around.log(PART, "not sent", request=job.request, error=str(exc))
+            await asyncio.sleep(REFUSED_PAUSE)
+            continue
+        if reply.refusal not in NOT_RUN or reply.refusal is Refusal.MALFORMED:
+            return reply
+        last = reply
+        group.watch.doubt(leader)
+        await asyncio.sleep(REFUSED_PAUSE)
+    if last is None:
+        return no_leader(around.tuning)
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail=f"not run, {last.refusal}",
+        retry_after_ms=around.tuning.busy_retry_after_ms,
+    )
+
+
+async def try_write(group, job, item):
+    """One try at the leader; raises NotSent if the write did not leave us."""
+    around, clock = group.around, group.around.clock
+    pooled = await take_live(group, item, job.values, job.left(clock))
+    try:
+        try:
+            await level(group, job, pooled)
+        except UpstreamError as exc:
+            group.watch.doubt(item.id)
+            raise NotSent(str(exc)) from exc
+        asked_at = clock()
+        try:
+            reply = await pooled.conn.ask(
+                job.statement, timeout=job.left(clock), request=job.request
+            )
+        except UpstreamError as exc:
+            group.watch.doubt(item.id)
+            return lost_write(group, job, item, exc)
+        if reply.ok:
+            item.answered(clock() - asked_at, reply.position, around.tuning)
+            if reply.position is not None:
+                group.floors.learn(reply.position, asked_at)
+        if reply.refusal is Refusal.UNKNOWN_NAME:
+            pooled.dirty = True
+        return reply
+    finally:
+        item.pool.release(pooled)
+
+
+def lost_write(group, job, item, exc):
+    """The reply for a write that was sent and not answered."""
+    if isinstance(exc, UpstreamLost) and not exc.sent:
+        raise NotSent(str(exc)) from exc
+    item.failed(group.around.clock(), group.around.tuning)
+    silent = isinstance(exc, UpstreamSilent)
+    group.around.log(
+        PART, "in doubt", request=job.request, upstream=item.id, error=str(exc)
+    )
+    detail = "no answer in time" if silent else "the connection broke"
+    return Reply(refusal=Refusal.IN_DOUBT, detail=f"may have run, {detail}")
+
+
+async def level(group, job, pooled):
+    """Bring a connection to the session's values."""
+    tuning = group.around.tuning
+    await bring_level(
+        pooled,
+        job.values,
+        job.prepared,
+        timeout=tuning.command_timeout,
+        prepared_limit=tuning.prepared_limit,
+    )
+
+
+async def take_live(group, item, values, timeout):
+    """A connection that has answered a moment ago; raises NotSent.
+
+    What goes wrong without the test: something between us and the upstream has
+    forgotten a quiet connection, the write on it gets no answer, and its outcome is
+    unknown although it never arrived.
+    """
+    tuning = group.around.tuning
+    while True:
+        try:
+            pooled = await item.pool.acquire(values=values, timeout=timeout)
+        except UpstreamError as exc:
+            group.watch.doubt(item.id)
+            raise NotSent(str(exc)) from exc
+        if pooled.conn.quiet_for() <= QUIET_LIMIT:
+            return pooled
+        try:
+            await pooled.conn.ask(ROLLBACK, timeout=tuning.ping_timeout)
+            return pooled
+        except UpstreamError as exc:
+            item.pool.release(pooled)
+            group.around.log(PART, "dead connection", upstream=item.id, error=str(exc))
