--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -56,7 +56,7 @@
 
 def place_in_order(daemons, daemon, group):
     """This daemon's place among those that may replace a group's primary."""
-    ranked = sorted(daemons, key=lambda name: xxh64_intdigest(f"{group}/{name}"))
+    ranked = sorted(daemons, key=lambda name: xxh64_intdigest(f"{group}/{name}".encode()))
     return ranked.index(daemon) if daemon in ranked else len(ranked)
 
 
