Feeds survive the HTTP client's own timeout errors

Cause: the HTTP client raises its timeout as an HTTP error even when asked not to raise; the feed's task ended with it, and the daemon served on with an old configuration (rule CONFIG) and a stale list of upstreams (DRAIN). Ruled out: a watch that is cut silently (keep-alive ends it after 3 s).

--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -12,6 +12,8 @@
 PART = "proxy"
 # How often idle transactions and members that left the list are looked for, seconds.
 TEND_EVERY = 0.25
+# Pause before a loop that failed is started anew, seconds.
+RESTART_PAUSE = 0.5
 
 
 class Proxy:
@@ -81,8 +83,8 @@
             group=group, daemon=self.name, leases=self.leases, promoter=self.promoter
         )
         self.refresh_members(spec.name)
-        self.spawn(group.watch.run())
-        self.spawn(self.takeovers[spec.name].run())
+        self.keep_running(group.watch.run)
+        self.keep_running(self.takeovers[spec.name].run)
 
     def take_members(self, members):
         """Take in a whole list of upstreams."""
@@ -169,11 +171,30 @@
     # Tasks
 
     def spawn(self, work):
-        """Run a coroutine until the daemon stops."""
+        """Run a coroutine to its end, or until the daemon stops."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.finished)
 
+    def keep_running(self, make_work):
+        """Run what has no end, and start it anew should it fail.
+
+        What goes wrong without it: an error that nobody thought of ends a watch,
+        and the daemon serves on with what it knew then.
+        """
+        self.spawn(self.restart(make_work))
+
+    async def restart(self, make_work):
+        """Run a loop again and again."""
+        while True:
+            try:
+                await make_work()
+            except Exception as exc:
+                self.log(
+                    PART, "loop failed", loop=make_work.__qualname__, error=repr(exc)
+                )
+            await asyncio.sleep(RESTART_PAUSE)
+
     def finished(self, task):
         """A task ended; one that failed must not pass unseen."""
         self.tasks.discard(task)
