--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -7,6 +7,7 @@
 from gypsum_sessions.leader import LeaderWatch
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.router import Candidate
+from gypsum_sessions.stall import WriteStall
 from gypsum_sessions.tuning import SessionTuning
 from gypsum_sessions.upstreams import Upstream
 
@@ -42,6 +43,7 @@
         self.around = around
         self.upstreams = {}
         self.tasks = set()
+        self.stall = WriteStall()
         self.floors = Floors(keep=around.tuning.floor_keep)
         self.watch = LeaderWatch(
             group=self,
--- a/packages/sessions/gypsum_sessions/leader.py
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -7,7 +7,12 @@
 
 import asyncio
 
-from gypsum_sessions.replies import Refusal, UpstreamError, UpstreamLost
+from gypsum_sessions.replies import (
+    Refusal,
+    UpstreamBusy,
+    UpstreamError,
+    UpstreamLost,
+)
 from gypsum_sessions.statements import BEGIN_WRITING, ROLLBACK
 
 PART = "leader"
@@ -16,7 +21,7 @@
 async def prove_leads(conn, *, timeout):
     """Ask an upstream to prove that it leads; its position, or None if it refuses.
 
-    Raises UpstreamLost or UpstreamSilent.
+    Raises UpstreamLost or UpstreamSilent, and UpstreamBusy if it could not look.
     """
     begun, ended = await asyncio.gather(
         conn.ask(BEGIN_WRITING, timeout=timeout),
@@ -31,6 +36,8 @@
         return begun.position
     if begun.refusal is Refusal.READ_ONLY:
         return None
+    if begun.refusal is Refusal.BUSY:
+        raise UpstreamBusy(begun.detail, step="prove", peer="upstream")
     raise UpstreamLost(f"{begun.refusal} {begun.detail}", step="prove", peer="upstream")
 
 
@@ -132,6 +139,10 @@
     async def step(self):
         """One proof, or one round of search."""
         self.wanted.clear()
+        if not self.group.upstreams:
+            # Without members there is nothing that could be missing a leader.
+            self.leaderless_since = None
+            return
         target = self.leader or self.guess()
         if target and await self.try_target(target):
             return
@@ -159,6 +170,8 @@
                 position = await prove_leads(
                     self.conn, timeout=self.tuning.ping_timeout
                 )
+            except UpstreamBusy:
+                return self.keep_busy(target)
             except UpstreamError as exc:
                 self.log(
                     PART,
@@ -178,6 +191,18 @@
             return True
         return False
 
+    def keep_busy(self, target):
+        """Tell whether a leader whose queue is full is still taken for one.
+
+        What goes wrong without it: a burst fills the queue, the proof is turned
+        away, and a healthy primary is replaced at the worst moment.
+        """
+        if target != self.leader:
+            return False
+        newest = self.floors.newest
+        since = newest.asked_at if newest else self.clock()
+        return self.clock() - since < self.tuning.busy_limit
+
     async def dial(self, target):
         """Open the connection for proofs; tell whether it worked."""
         self.drop_conn()
@@ -210,6 +235,7 @@
         if upstream != self.leader:
             if upstream != self.last_leader:
                 self.floors.forget()
+                self.group.stall.forget()
             self.log(
                 PART,
                 "found",
--- a/packages/sessions/gypsum_sessions/replies.py
+++ b/packages/sessions/gypsum_sessions/replies.py
@@ -114,3 +114,7 @@
     def __init__(self, message, *, step, peer, refusal):
         super().__init__(message, step=step, peer=peer)
         self.refusal = refusal
+
+
+class UpstreamBusy(UpstreamError):
+    """The upstream is alive and its queue is full; nothing ran."""
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -10,14 +10,15 @@
 """
 
 import asyncio
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from enum import StrEnum
 
 from xxhash import xxh64_intdigest
 
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.leader import prove_leads
-from gypsum_sessions.pooled import PooledConn
-from gypsum_sessions.replies import UpstreamError, UpstreamStatus
+from gypsum_sessions.replies import UpstreamBusy, UpstreamError, UpstreamStatus
 from gypsum_sessions.statements import (
     RESUME_REPLICATION,
     STATUS,
@@ -36,6 +37,14 @@
 COMMAND_TRIES = 2
 
 
+class Reason(StrEnum):
+    """Why a primary is replaced."""
+
+    NO_PRIMARY = "no primary"
+    LEAVES = "the primary leaves"
+    STALLED = "writes stand still"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Paused:
     """A member whose replication is paused, and its status then."""
@@ -56,10 +65,32 @@
 
 def place_in_order(daemons, daemon, group):
     """This daemon's place among those that may replace a group's primary."""
-    ranked = sorted(daemons, key=lambda name: xxh64_intdigest(f"{group}/{name}".encode()))
+    ranked = sorted(
+        daemons, key=lambda name: xxh64_intdigest(f"{group}/{name}".encode())
+    )
     return ranked.index(daemon) if daemon in ranked else len(ranked)
 
 
+@asynccontextmanager
+async def borrowed(around, item):
+    """A connection for a command: an idle one of the pool, else one of its own.
+
+    Commands must not wait behind callers' statements for a free connection.
+    """
+    pooled = item.pool.take_idle({})
+    if pooled is not None:
+        try:
+            yield pooled.conn
+        finally:
+            item.pool.release(pooled)
+        return
+    conn = await around.dialer.dial(item.member, timeout=around.tuning.dial_timeout)
+    try:
+        yield conn
+    finally:
+        conn.close()
+
+
 class Takeover:
     """Watches one group and replaces its primary when it is out of service."""
 
@@ -100,17 +131,19 @@
         if now < self.rest_until or not self.group.upstreams:
             return None
         delay = self.place() * tuning.rank_delay
-        since = self.group.watch.leaderless_since
-        if not self.group.watch.leader and since is not None:
-            if now - since >= tuning.suspect_after + delay:
-                return "no primary"
-            return None
-        member = self.group.member(self.group.watch.leader)
-        if member is None or not member.leaving or member.leaving_since is None:
+        watch = self.group.watch
+        if not watch.leader:
+            since = watch.leaderless_since
+            late = since is not None and now - since >= tuning.suspect_after + delay
+            return Reason.NO_PRIMARY if late else None
+        if self.group.stall.lasting(now) >= tuning.stall_after + delay:
+            return Reason.STALLED
+        member = self.group.member(watch.leader)
+        if member is None or member.leaving_since is None:
             return None
         if now - member.leaving_since < delay:
             return None
-        return "the primary leaves" if self.successors(member.id) else None
+        return Reason.LEAVES if self.successors(member.id) else None
 
     def place(self):
         """This daemon's place in the order for the group."""
@@ -128,25 +161,62 @@
 
     async def attempt(self, reason):
         """Take the lease, pause the replicas, promote the longest log."""
+        if reason is Reason.STALLED and not await self.confirm_stall():
+            return
         if not await self.take_lease(reason):
             return
+        old = self.group.watch.leader or self.group.watch.last_leader
         deadline = self.around.clock() + ATTEMPT_LIMIT
-        leaving = reason == "the primary leaves"
         while self.around.clock() < deadline:
-            if not leaving and self.group.watch.leader:
-                self.log("given up, a primary was found")
-                return
-            if leaving and self.reason_gone():
+            if self.settled(reason, old):
+                self.log("given up, the reason is gone", reason=str(reason))
                 return
-            if await self.try_once(leaving):
+            if await self.try_once(old, step_down=reason is Reason.LEAVES):
                 return
             await asyncio.sleep(ROUND_PAUSE)
         self.log("attempt timed out")
 
-    def reason_gone(self):
-        """Tell whether the leaving primary has been replaced meanwhile."""
-        member = self.group.member(self.group.watch.leader)
-        return member is not None and not member.leaving
+    def settled(self, reason, old):
+        """Tell whether the reason for an attempt is gone."""
+        leader = self.group.watch.leader
+        if reason is Reason.NO_PRIMARY:
+            return bool(leader)
+        if leader and leader != old:
+            return True
+        return reason is Reason.STALLED and not self.group.stall.started
+
+    async def confirm_stall(self):
+        """Tell whether the leader's log reaches no replica.
+
+        What goes wrong without it: a single lost answer looks like a leader that is
+        cut from its group. Replicas that are merely paused, by an order that was
+        carried out late, are resumed instead.
+        """
+        floor = self.group.floors.newest
+        replicas = [
+            item
+            for item in self.group.upstreams.values()
+            if item.id != self.group.watch.leader
+        ]
+        if floor is None or not replicas:
+            return False
+        await asyncio.sleep(self.around.tuning.stall_look)
+        statuses = await asyncio.gather(*(self.status_of(item) for item in replicas))
+        known = [status for status in statuses if status is not None]
+        if any(status.received >= floor.position for status in known):
+            self.group.stall.forget()
+            return False
+        held = {
+            item.id: status.held_term
+            for item, status in zip(replicas, statuses, strict=True)
+            if status is not None and status.held_term
+        }
+        if held:
+            self.log("replicas found paused", held=held)
+            self.paused_by_us.update(held)
+            await self.resume_all()
+            return False
+        return bool(known)
 
     async def take_lease(self, reason):
         """Get a fresh token for this attempt; tell whether we have it."""
@@ -160,10 +230,9 @@
         self.log("lease taken", reason=reason, token=lease.token, after=seen.holder)
         return True
 
-    async def try_once(self, leaving):
+    async def try_once(self, old, *, step_down):
         """One round: pause all, choose, order; tell whether the attempt is over."""
-        old = self.group.watch.leader or self.group.watch.last_leader
-        paused = await self.pause_all(old, step_down=leaving)
+        paused = await self.pause_all(old, step_down=step_down)
         if paused is None:
             return False
         best = choose(paused)
@@ -201,18 +270,13 @@
     async def leads(self, item):
         """Ask a member whether it leads."""
         try:
-            pooled = await self.connect(item)
-        except UpstreamError:
-            return False
-        asked_at = self.around.clock()
-        try:
-            position = await prove_leads(
-                pooled.conn, timeout=self.around.tuning.ping_timeout
-            )
+            async with borrowed(self.around, item) as conn:
+                asked_at = self.around.clock()
+                position = await prove_leads(
+                    conn, timeout=self.around.tuning.ping_timeout
+                )
         except UpstreamError:
             return False
-        finally:
-            item.pool.release(pooled)
         if position is not None:
             self.group.watch.proven(item.id, position, asked_at)
         return position is not None
@@ -235,12 +299,17 @@
                 ],
             )
             return None
+        if any(status.leads for status in statuses):
+            # Nothing to pause: there is a primary, the watch has yet to find it.
+            self.log("another member leads", statuses=str(statuses))
+            return None
         term = max(status.term for status in statuses) + 1
         if step_down and old in self.group.upstreams:
             await self.command(
                 self.group.upstreams[old],
                 Statement(kind=StatementKind.STEP_DOWN, term=term),
             )
+            await asyncio.sleep(self.around.tuning.handover_pause)
         pause = Statement(kind=StatementKind.PAUSE_REPLICATION, term=term)
         paused = await asyncio.gather(*(self.command(item, pause) for item in others))
         for item in others:
@@ -265,33 +334,26 @@
         """Give a member a command; its status then, or None if it did not answer."""
         for _ in range(COMMAND_TRIES):
             try:
-                pooled = await self.connect(item)
+                return await self.command_once(item, statement)
             except UpstreamError as exc:
-                self.log("member unreachable", upstream=item.id, error=str(exc))
-                continue
-            try:
-                reply = await pooled.conn.ask(
-                    statement, timeout=self.around.tuning.command_timeout
-                )
-                if reply.ok:
-                    return pooled.conn.read_status(reply)
                 self.log(
-                    "command refused",
+                    "command failed",
                     upstream=item.id,
                     command=str(statement.kind),
-                    refusal=str(reply.refusal),
-                    detail=reply.detail,
+                    error=str(exc),
                 )
-            except UpstreamError as exc:
-                self.log("command unanswered", upstream=item.id, error=str(exc))
-            finally:
-                item.pool.release(pooled)
         return None
 
-    async def connect(self, item) -> PooledConn:
-        """A connection to a member for a command."""
-        return await item.pool.acquire(
-            values={}, timeout=self.around.tuning.dial_timeout
+    async def command_once(self, item, statement):
+        """One try of a command; raises UpstreamError."""
+        async with borrowed(self.around, item) as conn:
+            reply = await conn.ask(
+                statement, timeout=self.around.tuning.command_timeout
+            )
+            if reply.ok:
+                return conn.read_status(reply)
+        raise UpstreamBusy(
+            f"{reply.refusal} {reply.detail}", step="command", peer=item.id
         )
 
     async def resume_all(self):
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -165,8 +165,11 @@
         if refused is not None:
             return refused
     asked_at = group.around.clock()
+    number = group.stall.begin(asked_at) if tx.wrote else 0
     try:
         reply = await ask_until_run(group, tx, job)
+        if number:
+            group.stall.end(number, group.around.clock())
     except UpstreamError as exc:
         group.watch.doubt(tx.upstream)
         await abandon(group, tx)
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -19,6 +19,15 @@
     # A primary unreachable on fresh connections for this long is replaced. Above
     # it, a replacement costs less than waiting; below, a hiccup would depose it.
     suspect_after: float = 0.7
+    # A leader that is too busy to prove itself is one for this long: its queue at its
+    # slots empties in a fraction of it.
+    busy_limit: float = 2.0
+    # No write was answered for this long while some wait: a full queue takes 0.3 s.
+    stall_after: float = 0.8
+    # Replicas that are fed show progress within this: their usual lag, ten times.
+    stall_look: float = 0.3
+    # Log that a stepped down primary has sent reaches its replicas within this.
+    handover_pause: float = 0.05
     # A daemon further down the order waits this much longer per place.
     rank_delay: float = 0.8
     # Nobody takes a lease over that changed hands more recently.
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -66,6 +66,7 @@
             group.watch.doubt(item.id)
             raise NotSent(str(exc)) from exc
         asked_at = clock()
+        number = group.stall.begin(asked_at)
         try:
             reply = await pooled.conn.ask(
                 job.statement, timeout=job.left(clock), request=job.request
@@ -73,6 +74,7 @@
         except UpstreamError as exc:
             group.watch.doubt(item.id)
             return lost_write(group, job, item, exc)
+        group.stall.end(number, clock())
         if reply.ok:
             item.answered(clock() - asked_at, reply.position, around.tuning)
             if reply.position is not None:
--- /dev/null
+++ b/tests/sessions/fakegroup.py
@@ -0,0 +1,447 @@
+"""A database group in memory: logs, terms, replication, promotion, faults.
+
+It answers as the users' pages say upstreams do, and keeps what callers were told, so
+that tests can check the promises from outside.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from gypsum_core.records import Position
+from gypsum_sessions.replies import (
+    Refusal,
+    Reply,
+    SessionState,
+    UpstreamLost,
+    UpstreamRefused,
+    UpstreamSilent,
+    UpstreamStatus,
+)
+from gypsum_sessions.roster import Member
+from gypsum_sessions.statements import StatementKind
+
+WIRE = 0.001
+PROMOTE_TIME = 0.3
+ORIGIN = Position(term=0, index=0)
+
+
+@dataclass(slots=True, kw_only=True)
+class Entry:
+    """One commit in a log."""
+
+    position: Position
+    writes: tuple[tuple[str, str], ...]
+    commit: int
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class FakeMember:
+    """One upstream: its log, its faults.
+
+    `dark`: answers nothing. `dead`: refuses connections. `paused` (a term): receives
+    no log. `deaf`: receives none for another reason. `lag`: seconds until what was
+    received is applied. `work`: seconds of a statement. `lose_answers`: how many of
+    the next answers to work are lost.
+    """
+
+    id: str
+    group: "FakeGroup"
+    log: list[Entry] = field(default_factory=list)
+    applied: int = 0
+    dark: bool = False
+    dead: bool = False
+    paused: int = 0
+    deaf: bool = False
+    cut_from: set[str] = field(default_factory=set)
+    lag: float = 0.008
+    work: float = 0.02
+    slots: int = 5
+    busy: int = 0
+    full: bool = False
+    lose_answers: int = 0
+    conns: list = field(default_factory=list)
+    runs: int = 0
+    limit: int = 100
+
+    @property
+    def leads(self):
+        """Tell whether this member leads now."""
+        return self.group.leader is self
+
+    @property
+    def end(self):
+        """The end of the received log."""
+        return self.log[-1].position if self.log else ORIGIN
+
+    def holds(self, position):
+        """Tell whether the applied log holds a position."""
+        return any(item.position == position for item in self.log[: self.applied])
+
+    def value(self, item):
+        """What a read of an item shows."""
+        for entry in reversed(self.log[: self.applied]):
+            for name, data in reversed(entry.writes):
+                if name == item:
+                    return data
+        return ""
+
+    def crash(self):
+        """Stop: connections break, what was received stays."""
+        self.dead = True
+        for conn in list(self.conns):
+            conn.close()
+
+    def restart(self):
+        """Come back with the log, as whatever the group says we are."""
+        self.dead = False
+        self.paused = 0
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class FakeGroup:
+    """The members of a group and who leads."""
+
+    name: str = "db"
+    sync: int = 1
+    members: list[FakeMember] = field(default_factory=list)
+    leader: FakeMember | None = None
+    term: int = 1
+    commits: int = 0
+    acknowledged: list[Entry] = field(default_factory=list)
+    promotions: list[tuple[str, list[int]]] = field(default_factory=list)
+    reads: list = field(default_factory=list)
+
+    def add(self, count=3):
+        """Add members; the first leads if nobody does."""
+        for _ in range(count):
+            member = FakeMember(id=f"u{len(self.members) + 1}", group=self)
+            self.members.append(member)
+            self.leader = self.leader or member
+        return self
+
+    def __getitem__(self, name):
+        return next(member for member in self.members if member.id == name)
+
+    def listing(self):
+        """The members as the platform lists them."""
+        return [
+            Member(
+                id=member.id,
+                group=self.name,
+                address=f"{member.id}:1",
+                domain="a",
+                slots=member.slots,
+                leads=member.leads,
+            )
+            for member in self.members
+            if not member.dead
+        ]
+
+    def replicas(self):
+        """All members but the leader."""
+        return [member for member in self.members if member is not self.leader]
+
+    async def commit(self, member, writes):
+        """Commit at a leader; returns the entry once it is replicated."""
+        self.commits += 1
+        position = Position(term=self.term, index=member.end.index + 1)
+        entry = Entry(position=position, writes=tuple(writes), commit=self.commits)
+        member.log.append(entry)
+        member.applied = len(member.log)
+        asyncio.ensure_future(self.replicate(member, entry))
+        while self.sync and not self.received_elsewhere(member, entry):
+            await asyncio.sleep(10 * WIRE if member.dark else WIRE)
+            if member.dead or entry not in member.log:
+                raise UpstreamLost("crashed", step="commit", peer=member.id)
+        return entry
+
+    def received_elsewhere(self, source, entry):
+        """Tell whether another member has an entry."""
+        others = (item for item in self.members if item is not source)
+        return any(entry in item.log for item in others)
+
+    async def replicate(self, source, entry):
+        """Bring replicas level with a source, again until they are."""
+        await asyncio.sleep(WIRE)
+        for _ in range(20000):
+            if self.leader is not source or source.dead or entry not in source.log:
+                return
+            for replica in self.replicas():
+                self.ship(source, replica)
+            if all(entry in replica.log for replica in self.replicas()):
+                return
+            await asyncio.sleep(0.01)
+
+    def ship(self, source, replica):
+        """Copy a source's log to one replica, if it can receive."""
+        closed = replica.dead or replica.dark or replica.paused or replica.deaf
+        if closed or replica.id in source.cut_from or source.dark:
+            return
+        if replica.log == source.log:
+            return
+        replica.log = list(source.log)
+        replica.applied = min(replica.applied, len(replica.log))
+        size = len(replica.log)
+        asyncio.get_running_loop().call_later(replica.lag, self.apply, replica, size)
+
+    def apply(self, replica, size):
+        """What was received becomes visible."""
+        if not replica.dead:
+            replica.applied = max(replica.applied, min(size, len(replica.log)))
+
+    def promote(self, name):
+        """Make a member lead the next term with what it has received."""
+        chosen = self[name]
+        if chosen is self.leader or chosen.dead:
+            return
+        lost = [item.commit for item in self.acknowledged if item not in chosen.log]
+        self.promotions.append((name, lost))
+        self.term += 1
+        self.leader = chosen
+        chosen.applied = len(chosen.log)
+        for member in self.members:
+            member.paused = 0
+            if member is chosen:
+                continue
+            member.log = [item for item in member.log if item in chosen.log]
+            member.applied = min(member.applied, len(member.log))
+            self.ship(chosen, member)
+
+
+class FakeConn:
+    """A connection to a member; `cut` makes it silent."""
+
+    def __init__(self, *, member, loop):
+        self.member = member
+        self.loop = loop
+        self.alive = True
+        self.silent = False
+        self.heard_at = loop.time()
+        self.state = SessionState.IDLE
+        self.writing_term = 0
+        self.read_only = False
+        self.pending = []
+        self.values = {}
+        self.prepared = set()
+        self.queue = asyncio.Lock()
+        member.conns.append(self)
+
+    def quiet_for(self):
+        """Seconds since the last answer."""
+        return self.loop.time() - self.heard_at
+
+    def close(self):
+        """Close; what is open is rolled back."""
+        if self.alive:
+            self.alive = False
+            self.pending = []
+            self.member.conns.remove(self)
+
+    def read_status(self, reply):
+        """The status in a reply."""
+        return reply.rows[0]
+
+    async def ask(self, statement, *, timeout, request="", after=None):
+        """Run a statement as an upstream would."""
+        if not self.alive:
+            raise UpstreamLost("closed", step="ask", peer=self.member.id, sent=False)
+        work = asyncio.ensure_future(self.answer(statement, request, after))
+        try:
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(work)
+        except TimeoutError:
+            self.close()
+            raise UpstreamSilent(
+                "no answer", step=str(statement.kind), peer=self.member.id
+            ) from None
+
+    async def answer(self, statement, request, after):
+        """Wait for the wire and the turn, then run."""
+        async with self.queue:
+            await asyncio.sleep(WIRE)
+            await self.be_silent()
+            try:
+                reply = await self.run(statement, request, after)
+            except UpstreamLost:
+                self.close()
+                raise
+            if request and self.member.lose_answers:
+                self.member.lose_answers -= 1
+                self.silent = True
+            await self.be_silent()
+            if not self.alive and self.member.dead:
+                raise UpstreamLost("crashed", step="ask", peer=self.member.id)
+            self.heard_at = self.loop.time()
+            return reply
+
+    async def be_silent(self):
+        """Answer nothing while dark, or for ever on a silent connection."""
+        while self.member.dark or self.silent:
+            await asyncio.sleep(0.05)
+            if not self.alive:
+                raise UpstreamLost("closed", step="ask", peer=self.member.id)
+
+    async def run(self, statement, request, after):
+        """Dispatch one statement."""
+        member = self.member
+        if member.dead:
+            raise UpstreamLost("crashed", step="ask", peer=member.id)
+        kind = statement.kind
+        if self.state is SessionState.FAILED and kind not in (
+            StatementKind.ROLLBACK,
+            StatementKind.COMMIT,
+        ):
+            return self.refuse(Refusal.MALFORMED)
+        if after is not None and after != ORIGIN and not member.holds(after):
+            return self.refuse(Refusal.LAGGING)
+        match kind:
+            case StatementKind.BEGIN:
+                return self.begin(statement)
+            case StatementKind.ROLLBACK:
+                self.pending, self.state = [], SessionState.IDLE
+                return self.done()
+            case StatementKind.RESET:
+                self.values.clear()
+                self.prepared.clear()
+                return self.done()
+            case StatementKind.SET:
+                self.values[statement.name] = statement.argument
+                return self.done()
+            case StatementKind.PREPARE:
+                self.prepared.add(statement.name)
+                return self.done()
+            case StatementKind.STATUS:
+                return self.status()
+            case StatementKind.PAUSE_REPLICATION:
+                if statement.term > member.group.term and not member.leads:
+                    member.paused = statement.term
+                return self.status()
+            case StatementKind.RESUME_REPLICATION:
+                member.paused = 0
+                return self.status()
+            case StatementKind.STEP_DOWN:
+                if member.leads and statement.term > member.group.term:
+                    member.group.leader = None
+                return self.status()
+        return await self.work(statement, request)
+
+    def begin(self, statement):
+        """BEGIN: only a leader takes a writing one."""
+        if statement.writes and not self.member.leads:
+            return self.refuse(Refusal.READ_ONLY)
+        self.state = SessionState.IN_TRANSACTION
+        self.read_only = not statement.writes
+        self.writing_term = self.member.group.term
+        return self.done()
+
+    async def work(self, statement, request):
+        """What takes a slot: reads, writes, commits."""
+        member = self.member
+        if member.full:
+            return Reply(refusal=Refusal.BUSY, state=self.state, position=member.end)
+        executes = statement.kind is StatementKind.EXECUTE
+        if executes and statement.name not in self.prepared:
+            return self.refuse(Refusal.UNKNOWN_NAME)
+        while member.busy >= member.slots:
+            await asyncio.sleep(0.001)
+        member.busy += 1
+        try:
+            await asyncio.sleep(member.work)
+            await self.be_silent()
+            return await self.effect(statement, request)
+        finally:
+            member.busy -= 1
+
+    async def effect(self, statement, request):
+        """What the statement does."""
+        member = self.member
+        if member.dead:
+            raise UpstreamLost("crashed", step="ask", peer=member.id)
+        open_tx = self.state is SessionState.IN_TRANSACTION
+        lost_lead = not member.leads or self.writing_term != member.group.term
+        needs_lead = statement.kind is not StatementKind.COMMIT or self.pending
+        if open_tx and not self.read_only and lost_lead and needs_lead:
+            return self.refuse(Refusal.READ_ONLY)
+        member.runs += 1
+        if statement.kind is StatementKind.COMMIT:
+            return await self.commit()
+        item, _, data = target(statement)
+        if not statement.writes:
+            member.group.reads.append((request, member.id, member.applied))
+            return self.done(rows=(member.value(item),), proof=f"{member.id}:{request}")
+        if not member.leads:
+            return self.refuse(Refusal.READ_ONLY)
+        if open_tx:
+            self.pending.append((item, data))
+            return self.done(proof=f"{member.id}:{request}")
+        entry = await member.group.commit(member, [(item, data)])
+        member.group.acknowledged.append(entry)
+        return self.done(proof=f"{member.id}:{request}")
+
+    async def commit(self):
+        """COMMIT of the open transaction."""
+        pending, self.pending = self.pending, []
+        self.state = SessionState.IDLE
+        if pending:
+            entry = await self.member.group.commit(self.member, pending)
+            self.member.group.acknowledged.append(entry)
+        return self.done(proof=f"{self.member.id}:commit")
+
+    def status(self):
+        """The reply to STATUS and the replication commands."""
+        member = self.member
+        status = UpstreamStatus(
+            leads=member.leads,
+            term=member.group.term,
+            received=member.end,
+            held_term=member.paused,
+            lag_ms=0.0,
+        )
+        return Reply(rows=(status,), state=self.state, position=member.end)
+
+    def done(self, rows=(), proof=""):
+        """A success."""
+        position = self.member.end
+        return Reply(rows=rows, proof=proof, state=self.state, position=position)
+
+    def refuse(self, refusal):
+        """A refusal; inside a transaction it fails the transaction."""
+        if self.state is SessionState.IN_TRANSACTION:
+            self.state = SessionState.FAILED
+        return Reply(refusal=refusal, state=self.state, position=self.member.end)
+
+
+def target(statement):
+    """Item and data of a read, write or EXECUTE."""
+    if statement.kind is StatementKind.EXECUTE:
+        return statement.argument.partition(" ")
+    return statement.text.partition(" ")[2].partition(" ")
+
+
+class FakeDialer:
+    """Dials members by id; `cut` names those that this daemon cannot reach."""
+
+    def __init__(self, *, group, loop):
+        self.group = group
+        self.loop = loop
+        self.cut = set()
+        self.dials = 0
+
+    async def dial(self, member, *, timeout):
+        """Open a connection."""
+        self.dials += 1
+        target_member = self.group[member.id]
+        if target_member.dead:
+            raise UpstreamLost("refused", step="dial", peer=member.id)
+        if target_member.dark or member.id in self.cut:
+            await asyncio.sleep(timeout)
+            raise UpstreamLost("no answer", step="dial", peer=member.id)
+        await asyncio.sleep(0.012)
+        if len(target_member.conns) >= target_member.limit:
+            raise UpstreamRefused(
+                "full",
+                step="dial",
+                peer=member.id,
+                refusal=Refusal.CONNECTION_LIMIT,
+            )
+        return FakeConn(member=target_member, loop=self.loop)
--- /dev/null
+++ b/tests/sessions/rig.py
@@ -0,0 +1,174 @@
+"""Daemons over one group in virtual time, and callers that speak statements."""
+
+import asyncio
+from dataclasses import replace
+
+from gypsum_platform.codec import read_statement
+from gypsum_sessions.borders import LeaseError, PromoteOutcome, PromotionLease
+from gypsum_sessions.catalog import CatalogVersion, GroupSpec, ReadRule, Route
+from gypsum_sessions.proxy import Proxy
+from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
+from tests.sessions.fakegroup import PROMOTE_TIME, FakeDialer, FakeGroup
+
+
+class FakeLeases:
+    """The store's leases; `down` refuses, `lose` acts and does not answer."""
+
+    def __init__(self):
+        self.lease = PromotionLease(holder="", token=0, revision=0)
+        self.down = False
+        self.lose = 0
+        self.calls = 0
+
+    async def read(self, group):
+        """The lease."""
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        if self.down:
+            raise LeaseError("down", step="read", peer=group)
+        return self.lease
+
+    async def take(self, group, holder, seen):
+        """Take it if nobody did."""
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        if self.down:
+            raise LeaseError("down", step="take", peer=group)
+        if seen.revision != self.lease.revision:
+            return None
+        self.lease = PromotionLease(
+            holder=holder, token=seen.token + 1, revision=seen.revision + 1
+        )
+        if self.lose:
+            self.lose -= 1
+            raise LeaseError("no answer", step="take", peer=group)
+        return self.lease
+
+
+class FakePromoter:
+    """The platform's promotions, fenced by token; `late` orders act seconds later."""
+
+    def __init__(self, *, group):
+        self.group = group
+        self.highest = 0
+        self.orders = []
+        self.late = []
+        self.down = False
+
+    async def promote(self, group, upstream, holder, token):
+        """Carry out an order."""
+        self.orders.append((upstream, holder, token))
+        await asyncio.sleep(0.004)
+        if self.down:
+            return PromoteOutcome.NOT_DONE
+        if self.late:
+            delay = self.late.pop(0)
+            asyncio.get_running_loop().call_later(delay, self.act, upstream, token)
+            await asyncio.sleep(1.0)
+            return PromoteOutcome.UNANSWERED
+        if token < self.highest or self.group[upstream].dead:
+            return PromoteOutcome.REFUSED
+        self.act(upstream, token)
+        return PromoteOutcome.ACCEPTED
+
+    def act(self, upstream, token):
+        """The order takes effect a moment later, if its token still counts."""
+        if token < self.highest:
+            return
+        self.highest = token
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROMOTE_TIME, self.group.promote, upstream)
+
+
+class Rig:
+    """One group, some daemons, and what they share."""
+
+    def __init__(self, *, daemons=1, tuning=DEFAULT_SESSION_TUNING, version=1):
+        self.loop = asyncio.get_running_loop()
+        self.group = FakeGroup().add()
+        self.leases = FakeLeases()
+        self.promoter = FakePromoter(group=self.group)
+        self.lines = []
+        self.proxies = []
+        names = [f"d{number}" for number in range(daemons)]
+        for name in names:
+            self.proxies.append(self.make_proxy(name, names, tuning, version))
+
+    def make_proxy(self, name, names, tuning, version):
+        """One daemon, configured."""
+        proxy = Proxy(
+            name=name,
+            domain="a",
+            clock=self.loop.clock,
+            dialer=FakeDialer(group=self.group, loop=self.loop),
+            leases=self.leases,
+            promoter=self.promoter,
+            tuning=tuning,
+            log=self.log,
+            observe=lambda *args: None,
+        )
+        proxy.daemons.names = set(names)
+        proxy.offer_catalog(catalog(version), "test")
+        proxy.take_members(self.group.listing())
+        return proxy
+
+    def log(self, part, event, **fields):
+        """Keep a line."""
+        self.lines.append((self.loop.time(), part, event, fields))
+
+    @property
+    def proxy(self):
+        """The first daemon."""
+        return self.proxies[0]
+
+    async def settle(self, timeout=2.0):
+        """Wait until every daemon has found a leader."""
+        for proxy in self.proxies:
+            assert await proxy.groups["db"].watch.wait_leader(timeout)
+
+    def caller(self, database="own", proxy=None):
+        """A caller of one database."""
+        return FakeCaller(session=(proxy or self.proxy).open_session(database))
+
+
+class FakeCaller:
+    """Sends statement texts over a session."""
+
+    def __init__(self, *, session):
+        self.session = session
+        self.numbers = 0
+
+    async def send(self, text):
+        """Run one statement text; the reply."""
+        self.numbers += 1
+        request = f"{self.session.number}-{self.numbers}"
+        return await self.session.run(request, read_statement(text))
+
+
+def catalog(version=1, **changes):
+    """A configuration with one database for each read rule."""
+    rules = {
+        "primary": (ReadRule.PRIMARY, 0.0),
+        "bounded": (ReadRule.BOUNDED, 1.5),
+        "own": (ReadRule.READ_YOUR_WRITES, 2.5),
+    }
+    routes = {
+        name: Route(
+            name=name,
+            database=name,
+            group="db",
+            rule=rule,
+            statement_timeout=1.0,
+            latency_target=0.4,
+            max_age=age,
+        )
+        for name, (rule, age) in rules.items()
+    }
+    for name, fields in changes.items():
+        routes[name] = replace(routes[name], **fields)
+    return CatalogVersion(
+        version=version,
+        routes=routes,
+        groups={"db": GroupSpec(name="db", max_connections=34, sync_replicas=1)},
+        transaction_idle=3.0,
+    )
--- /dev/null
+++ b/tests/sessions/test_freshness.py
@@ -0,0 +1,124 @@
+"""Reads are never older than their route allows, whatever replicas do."""
+
+import asyncio
+
+from gypsum_core.records import Position
+from gypsum_sessions.floors import Floors, later
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+
+
+def test_the_oldest_allowed_floor_is_taken():
+    floors = Floors(keep=10.0)
+    for at in range(5):
+        floors.learn(Position(term=1, index=at), float(at))
+    assert floors.since(2.0).position == Position(term=1, index=2)
+    assert floors.since(4.5) is None
+
+
+def test_floors_of_a_replaced_primary_are_forgotten():
+    """Symptom: every replica refuses reads for seconds after a promotion.
+
+    Sequence: the old primary shows a position that no replica has received, it is
+    replaced, reads ask for that position. Cause: its tail was rolled back.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        watch = rig.proxy.groups["db"].watch
+        rig.proxy.groups["db"].floors.learn(
+            Position(term=1, index=99), rig.loop.clock()
+        )
+        rig.group.promote("u2")
+        await asyncio.sleep(1.0)
+        assert watch.leader == "u2"
+        assert (await rig.caller("bounded").send("READ a")).ok
+
+    run(main())
+
+
+def test_later_takes_either_when_one_is_unknown():
+    position = Position(term=1, index=1)
+    assert later(None, position) == position
+    assert later(position, None) == position
+
+
+def test_own_writes_are_read_though_replicas_are_far_behind():
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        for replica in rig.group.replicas():
+            replica.lag = 1.2
+        caller = rig.caller("own")
+        for number in range(5):
+            assert (await caller.send(f"WRITE a {number}")).ok
+            assert (await caller.send("READ a")).rows == (str(number),)
+
+    run(main())
+
+
+def test_a_bounded_read_shows_what_was_written_before_its_age():
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        for replica in rig.group.replicas():
+            replica.lag = 5.0
+        await rig.caller("own").send("WRITE a new")
+        await asyncio.sleep(1.6)
+        assert (await rig.caller("bounded").send("READ a")).rows == ("new",)
+
+    run(main())
+
+
+def test_a_primary_read_is_not_run_by_a_primary_that_was_replaced():
+    """Symptom: a read shows data without a commit that was acknowledged before it.
+
+    Sequence: a daemon cannot hear of a promotion and still talks to the old
+    primary; a commit is acknowledged by the new one; the daemon reads. Cause: a
+    former primary answers single reads like any replica.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        old, fresh = rig.proxies
+        old.around.dialer.cut.update({"u2", "u3"})
+        for replica in ("u2", "u3"):
+            for conn in list(rig.group[replica].conns):
+                conn.silent = True
+        rig.group["u1"].cut_from.update({"u2", "u3"})
+        rig.group.promote("u2")
+        rig.group["u1"].deaf = True
+        await asyncio.sleep(0.5)
+        assert (await rig.caller("own", fresh).send("WRITE a new")).ok
+        reply = await rig.caller("primary", old).send("READ a")
+        assert not reply.ok or reply.rows == ("new",)
+        assert all(member != "u1" for _, member, _ in rig.group.reads)
+
+    run(main())
+
+
+def test_time_spent_suspended_ages_floors():
+    """Symptom: a read is older than allowed after the machine was suspended.
+
+    Sequence: a floor is learnt, the machine is suspended for ten seconds, a read
+    comes. Cause: the steady clock stood still, so the floor looked young.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        for replica in rig.group.replicas():
+            replica.deaf = True
+        rig.group.sync = 0
+        await asyncio.sleep(0.5)
+        writer = Rig.caller(rig, "own")
+        assert (await writer.send("WRITE a new")).ok
+        floors = rig.proxy.groups["db"].floors
+        while len(floors.known) > 1:
+            floors.known.pop()
+        rig.loop.suspended += 10.0
+        assert (await rig.caller("bounded").send("READ a")).rows == ("new",)
+
+    run(main())
--- /dev/null
+++ b/tests/sessions/test_takeover.py
@@ -0,0 +1,311 @@
+"""A primary out of service is replaced, and nothing acknowledged is lost."""
+
+import asyncio
+
+from gypsum_core.records import Position
+from gypsum_sessions.replies import Refusal, UpstreamStatus
+from gypsum_sessions.takeover import Paused, choose, place_in_order
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+
+
+def paused(name, index, *, leaving=False, term=1):
+    """A paused member with a log that long."""
+    status = UpstreamStatus(
+        leads=False,
+        term=1,
+        received=Position(term=term, index=index),
+        held_term=2,
+        lag_ms=0.0,
+    )
+    return Paused(upstream=name, leaving=leaving, status=status)
+
+
+def test_the_longest_log_is_chosen_even_if_it_leaves():
+    assert choose([paused("a", 5), paused("b", 6, leaving=True)]) == "b"
+
+
+def test_of_equal_logs_the_one_that_stays_is_chosen():
+    assert choose([paused("z", 5, leaving=True), paused("a", 5)]) == "a"
+
+
+def test_a_later_term_is_longer_than_any_index():
+    assert choose([paused("a", 9, term=1), paused("b", 3, term=2)]) == "b"
+
+
+def test_groups_are_spread_over_the_daemons():
+    daemons = [f"d{number}" for number in range(9)]
+    first = {
+        min(daemons, key=lambda name: place_in_order(daemons, name, f"g{group}"))
+        for group in range(40)
+    }
+    assert len(first) >= 6
+
+
+async def write_for(rig, proxy, seconds, told):
+    """Write one after the other and keep what was acknowledged."""
+    caller = rig.caller("own", proxy)
+    until = rig.loop.time() + seconds
+    number = 0
+    while rig.loop.time() < until:
+        number += 1
+        data = f"{proxy.name}-{number}"
+        reply = await caller.send(f"WRITE {data} {data}")
+        told.append((data, reply.refusal, rig.loop.time()))
+        await asyncio.sleep(0.01)
+
+
+def check_nothing_lost(rig, told):
+    """Everything acknowledged is in the leader's log, and nothing twice."""
+    kept = [data for item in rig.group.leader.log for _, data in item.writes]
+    assert len(kept) == len(set(kept))
+    for data, refusal, _ in told:
+        if refusal is None:
+            assert data in kept
+        if refusal is Refusal.BUSY:
+            assert data not in kept
+
+
+def writes_resumed_after(told, moment):
+    """Seconds from a moment to the first acknowledged write that began later."""
+    return min(at for _, refusal, at in told if refusal is None and at > moment) - (
+        moment
+    )
+
+
+def test_a_dark_primary_is_replaced_and_no_acknowledged_write_is_lost():
+    async def main():
+        rig = Rig(daemons=3)
+        await rig.settle()
+        told = []
+        writers = [
+            asyncio.create_task(write_for(rig, proxy, 6.0, told))
+            for proxy in rig.proxies
+        ]
+        await asyncio.sleep(1.0)
+        rig.group["u1"].dark = True
+        await asyncio.gather(*writers)
+        assert rig.group.promotions and rig.group.leader is not rig.group["u1"]
+        check_nothing_lost(rig, told)
+        assert writes_resumed_after(told, 1.1) < 2.5
+
+    run(main())
+
+
+def test_a_crashed_primary_is_replaced_and_comes_back_as_a_replica():
+    async def main():
+        rig = Rig(daemons=3)
+        await rig.settle()
+        told = []
+        writer = asyncio.create_task(write_for(rig, rig.proxy, 6.0, told))
+        await asyncio.sleep(1.0)
+        rig.group["u1"].crash()
+        await asyncio.sleep(3.0)
+        rig.group["u1"].restart()
+        await writer
+        check_nothing_lost(rig, told)
+        assert len(rig.group.promotions) == 1
+
+    run(main())
+
+
+def test_nothing_is_promoted_while_a_replica_cannot_be_paused():
+    """Symptom: an acknowledged commit vanishes with a promotion.
+
+    Sequence: the primary and one replica are out of reach; the other replica lags;
+    it is promoted. Cause: the commit was acknowledged through the replica that
+    nobody asked.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        rig.group["u2"].deaf = True
+        assert (await rig.caller("own").send("WRITE a 1")).ok
+        rig.group["u3"].dark = True
+        rig.group["u1"].dark = True
+        await asyncio.sleep(8.0)
+        assert rig.group.promotions == []
+        refused = await rig.caller("own").send("WRITE b 2")
+        assert refused.refusal is Refusal.BUSY and refused.retry_after_ms
+        rig.group["u3"].dark = False
+        await asyncio.sleep(14.0)
+        assert rig.group.promotions and rig.group.promotions[0][1] == []
+
+    run(main())
+
+
+def test_a_daemon_that_is_cut_off_alone_does_no_harm():
+    """Symptom: a healthy primary is replaced and acknowledged writes are lost.
+
+    Sequence: one daemon loses its path to the primary only, and replaces it, while
+    the others write on. Cause: it counts its own silence as a death.
+    """
+
+    async def main():
+        rig = Rig(daemons=3)
+        await rig.settle()
+        told = []
+        cut = rig.proxies[0]
+        writers = [
+            asyncio.create_task(write_for(rig, proxy, 8.0, told))
+            for proxy in rig.proxies[1:]
+        ]
+        await asyncio.sleep(0.5)
+        cut.around.dialer.cut.add("u1")
+        cut.groups["db"].watch.conn.silent = True
+        await asyncio.gather(*writers)
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_a_leaving_primary_hands_over():
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        writer = asyncio.create_task(write_for(rig, rig.proxy, 5.0, told))
+        await asyncio.sleep(1.0)
+        leaving = [
+            replace_leaving(member) if member.id == "u1" else member
+            for member in rig.group.listing()
+        ]
+        for proxy in rig.proxies:
+            proxy.take_members(leaving)
+        await writer
+        assert rig.group.leader is not rig.group["u1"]
+        check_nothing_lost(rig, told)
+        assert writes_resumed_after(told, 1.2) < 1.5
+
+    run(main())
+
+
+def replace_leaving(member):
+    """The member as the list shows it when it leaves."""
+    from dataclasses import replace
+
+    return replace(member, leaving=True)
+
+
+def test_a_primary_cut_from_its_replicas_is_replaced():
+    """Symptom: writes stand still while the primary looks healthy.
+
+    Sequence: the primary loses its replicas, but not the daemons; commits wait for a
+    replica. Cause: only silence of the primary counted, and it was not silent.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        writers = [
+            asyncio.create_task(write_for(rig, proxy, 8.0, told))
+            for proxy in rig.proxies
+        ]
+        await asyncio.sleep(1.0)
+        rig.group["u1"].cut_from.update({"u2", "u3"})
+        await asyncio.gather(*writers)
+        assert rig.group.leader is not rig.group["u1"]
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_replicas_paused_by_a_late_order_are_resumed():
+    """Symptom: writes stand still for ever though all members are well.
+
+    Sequence: an order to pause got no answer, its sender went on without it, and it
+    is carried out seconds later. Cause: nobody looked for paused replicas.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        writer = asyncio.create_task(write_for(rig, rig.proxy, 8.0, told))
+        await asyncio.sleep(1.0)
+        for replica in rig.group.replicas():
+            replica.paused = 2
+        await writer
+        assert told[-1][1] is None
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_an_order_carried_out_late_is_not_followed_by_a_loss():
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        rig.promoter.late = [4.0, 2.5]
+        told = []
+        writers = [
+            asyncio.create_task(write_for(rig, proxy, 15.0, told))
+            for proxy in rig.proxies
+        ]
+        await asyncio.sleep(1.0)
+        rig.group["u1"].dark = True
+        await asyncio.gather(*writers)
+        assert all(lost == [] for _, lost in rig.group.promotions)
+        check_nothing_lost(rig, told)
+        assert told[-1][1] is None
+
+    run(main())
+
+
+def test_a_refused_token_is_never_used_again():
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        rig.promoter.highest = 3
+        rig.group["u1"].dark = True
+        await asyncio.sleep(12.0)
+        tokens = [token for _, _, token in rig.promoter.orders]
+        assert len(tokens) == len(set(tokens))
+        assert rig.group.promotions
+
+    run(main())
+
+
+def test_a_full_queue_is_no_death():
+    """Symptom: a burst makes the daemons replace a healthy primary.
+
+    Sequence: the primary's queue is full for a second, proofs are turned away as
+    busy. Cause: every proof that failed counted as silence.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        rig.group["u1"].full = True
+        await asyncio.sleep(1.0)
+        rig.group["u1"].full = False
+        await asyncio.sleep(3.0)
+        assert rig.group.promotions == []
+
+    run(main())
+
+
+def test_a_start_before_all_members_are_listed_replaces_nobody():
+    """Symptom: at the start a lease is taken and members are paused.
+
+    Sequence: replicas are listed seconds before the primary is. Cause: a group whose
+    primary nobody has heard of yet looked like one that lost it.
+    """
+
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        proxy = rig.make_proxy("late", ["late", "d0"], rig.proxy.tuning, 1)
+        group = proxy.groups["db"]
+        group.take_members([])
+        await asyncio.sleep(2.0)
+        proxy.take_members([m for m in rig.group.listing() if m.id != "u1"])
+        await asyncio.sleep(1.5)
+        proxy.take_members(rig.group.listing())
+        await asyncio.sleep(1.0)
+        assert rig.promoter.orders == []
+        assert all(member.paused == 0 for member in rig.group.members)
+
+    run(main())
