--- a/packages/sessions/gypsum_sessions/borders.py
+++ b/packages/sessions/gypsum_sessions/borders.py
@@ -90,6 +90,13 @@
         """
 
 
+class MemberList(Protocol):
+    """The list of upstreams, read afresh."""
+
+    async def read_all(self) -> list[Member]:
+        """All listed upstreams; raises LeaseError when the list can't be had."""
+
+
 class PromoteOutcome(StrEnum):
     """What became of an order to promote."""
 
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/confirm.py
@@ -0,0 +1,114 @@
+"""Whether a commit is where a takeover would find it.
+
+A primary acknowledges a commit once any replica has it. A takeover pauses the
+replicas that the list names. A replica that joins in between is named by nobody yet:
+a primary that is being replaced acknowledges through it what the new one will not
+have. So a commit is passed on as done once a replica that was listed for a while has
+it. When none of those can be asked, it is passed on unless writes stood still before.
+"""
+
+import asyncio
+from enum import StrEnum
+
+from gypsum_sessions.borrow import borrowed
+from gypsum_sessions.replies import Refusal, UpstreamError
+from gypsum_sessions.statements import BEGIN_READING, ROLLBACK, STATUS
+
+PART = "confirm"
+
+
+class Evidence(StrEnum):
+    """What the replicas say of a position."""
+
+    HELD = "held"
+    LACKING = "lacking"
+    UNKNOWN = "unknown"
+
+
+async def is_safe(group, position, leader, *, stalled):
+    """Tell whether a commit at a position may be passed on as done.
+
+    `stalled` is how long writes had stood still before this one was answered.
+    """
+    tuning = group.around.tuning
+    evidence = Evidence.UNKNOWN
+    if position is not None:
+        evidence = await find_evidence(group, position, leader)
+    safe = evidence is Evidence.HELD or (
+        evidence is Evidence.UNKNOWN and stalled < tuning.stall_trust
+    )
+    if not safe:
+        group.around.log(
+            PART,
+            "commit not confirmed",
+            group=group.name,
+            position=f"{position.term}.{position.index}" if position else "",
+            evidence=str(evidence),
+            stalled_ms=round(stalled * 1000),
+        )
+    return safe
+
+
+async def find_evidence(group, position, leader):
+    """Ask the replicas that were listed for a while, until one has the position."""
+    tuning, clock = group.around.tuning, group.around.clock
+    listed_before = clock() - tuning.settled_after
+    replicas = [
+        item
+        for item in group.upstreams.values()
+        if item.id != leader and item.member.listed_since <= listed_before
+    ]
+    until = clock() + tuning.confirm_for
+    while replicas:
+        found = await ask_all(group, replicas, position)
+        if Evidence.HELD in found:
+            return Evidence.HELD
+        if clock() >= until:
+            unknown = Evidence.UNKNOWN in found
+            return Evidence.UNKNOWN if unknown else Evidence.LACKING
+        await asyncio.sleep(tuning.confirm_pause)
+    return Evidence.UNKNOWN
+
+
+async def ask_all(group, replicas, position):
+    """What each replica says; stops at the first that has the position."""
+    asking = {asyncio.create_task(ask_one(group, item, position)) for item in replicas}
+    found = []
+    while asking:
+        done, asking = await asyncio.wait(asking, return_when=asyncio.FIRST_COMPLETED)
+        found += [task.result() for task in done]
+        if Evidence.HELD in found:
+            group.keep_tasks(asking)
+            break
+    return found
+
+
+async def ask_one(group, item, position):
+    """What one replica says of a position."""
+    tuning = group.around.tuning
+    try:
+        async with borrowed(group.around, item) as conn:
+            begun = await conn.ask(
+                BEGIN_READING, timeout=tuning.ping_timeout, after=position
+            )
+            if begun.ok:
+                await conn.ask(ROLLBACK, timeout=tuning.ping_timeout)
+                return Evidence.HELD
+            if begun.refusal is not Refusal.LAGGING:
+                return Evidence.UNKNOWN
+            return await ask_received(conn, position, tuning)
+    except UpstreamError as exc:
+        group.around.log(PART, "replica not asked", upstream=item.id, error=str(exc))
+        return Evidence.UNKNOWN
+
+
+async def ask_received(conn, position, tuning):
+    """Whether a replica has received what it has not applied yet."""
+    reply = await conn.ask(STATUS, timeout=tuning.ping_timeout)
+    if not reply.ok:
+        return Evidence.UNKNOWN
+    received = conn.read_status(reply).received
+    # An end of another term tells nothing: the position may have been cut off there.
+    same_term = received.term == position.term
+    held = same_term and received.index >= position.index
+    return Evidence.HELD if held else Evidence.LACKING
--- a/packages/sessions/gypsum_sessions/events.py
+++ b/packages/sessions/gypsum_sessions/events.py
@@ -6,6 +6,7 @@
 from logging import Formatter
 
 from absl import logging
+from absl.flags import FLAGS
 
 # Lines a second that a process may write: ten times what a calm day needs.
 LINES_PER_SECOND = 400
@@ -49,6 +50,10 @@
                 return
             del self.backlog[:written]
 
+    def close(self):
+        """Write what is left; the descriptor is not ours to close."""
+        self.flush()
+
 
 class PlainFormatter(Formatter):
     """The message alone: it is a JSON object already."""
@@ -73,6 +78,7 @@
     def set_up(self, descriptor=1):
         """Send the lines to a descriptor, standard output by default."""
         self.stream = BoundedStream(descriptor=descriptor)
+        FLAGS.mark_as_parsed()
         logging.use_absl_handler()
         logging.set_verbosity(logging.INFO)
         handler = logging.get_absl_handler()
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -93,6 +93,7 @@
             member=member,
             dialer=self.around.dialer,
             limit=self.connection_limit(),
+            clock=self.around.clock,
             tuning=self.around.tuning,
         )
         self.upstreams[member.id] = Upstream(
--- a/packages/sessions/gypsum_sessions/pool.py
+++ b/packages/sessions/gypsum_sessions/pool.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from gypsum_sessions.pooled import PooledConn
-from gypsum_sessions.replies import UpstreamSilent
+from gypsum_sessions.replies import UpstreamLost, UpstreamSilent
 
 
 class ConnPool:
@@ -14,10 +14,11 @@
     opened only when all others are in use, and none is closed for being idle.
     """
 
-    def __init__(self, *, member, dialer, limit, tuning):
+    def __init__(self, *, member, dialer, limit, clock, tuning):
         self.member = member
         self.dialer = dialer
         self.limit = limit
+        self.clock = clock
         self.tuning = tuning
         self.idle = []
         self.opened = 0
@@ -25,15 +26,23 @@
         self.dials = 0
         self.waiting = deque()
         self.closed = False
+        self.redial_at = 0.0
+        self.redial_after = 0.0
 
     async def acquire(self, *, values, timeout):
         """A connection, the one whose values fit best; raises UpstreamError."""
-        pooled = self.take_idle(values)
-        if pooled is not None:
-            return pooled
-        if self.opened < self.limit:
-            return await self.open_one()
-        return await self.wait_turn(values, timeout)
+        until = self.clock() + timeout
+        while True:
+            pooled = self.take_idle(values)
+            if pooled is not None:
+                return pooled
+            if self.opened < self.limit and self.clock() >= self.redial_at:
+                return await self.open_one()
+            if not self.opened:
+                raise UpstreamLost(
+                    "no new dial yet", step="acquire", peer=self.member.id, sent=False
+                )
+            await self.wait_turn(until - self.clock())
 
     def take_idle(self, values):
         """An idle connection, or None; dead ones are dropped on the way."""
@@ -61,32 +70,40 @@
             conn = await self.dialer.dial(self.member, timeout=self.tuning.dial_timeout)
         except BaseException:
             self.opened -= 1
+            self.put_off_dialling()
             self.wake_one()
             raise
+        self.redial_after = 0.0
         self.in_use += 1
         return PooledConn(upstream=self.member.id, conn=conn)
 
-    async def wait_turn(self, values, timeout):
+    def put_off_dialling(self):
+        """After a failed dial the next one waits, longer each time."""
+        self.redial_after = min(
+            max(self.tuning.redial_first, 2 * self.redial_after),
+            self.tuning.redial_most,
+        )
+        self.redial_at = self.clock() + self.redial_after
+
+    async def wait_turn(self, timeout):
         """Wait until a connection is free or may be opened."""
         turn = asyncio.get_running_loop().create_future()
         self.waiting.append(turn)
         try:
             async with asyncio.timeout(timeout):
                 await turn
-        except TimeoutError:
-            if turn.done() and not turn.cancelled():
-                self.wake_one()
-            raise UpstreamSilent(
-                "no free connection", step="acquire", peer=self.member.id
-            ) from None
-        except asyncio.CancelledError:
+        except BaseException as exc:
             if turn.done() and not turn.cancelled():
+                # The turn came just as we gave up: it is the next one's.
                 self.wake_one()
+            if isinstance(exc, TimeoutError):
+                raise UpstreamSilent(
+                    "no free connection", step="acquire", peer=self.member.id
+                ) from None
             raise
         finally:
             if turn in self.waiting:
                 self.waiting.remove(turn)
-        return await self.acquire(values=values, timeout=timeout)
 
     def release(self, pooled):
         """Give a connection back; a closed one makes room for a new one."""
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -20,7 +20,18 @@
     """Everything that one daemon serves sessions with."""
 
     def __init__(
-        self, *, name, domain, clock, dialer, leases, promoter, tuning, log, observe
+        self,
+        *,
+        name,
+        domain,
+        clock,
+        dialer,
+        leases,
+        promoter,
+        member_list,
+        tuning,
+        log,
+        observe,
     ):
         self.name = name
         self.clock = clock
@@ -29,6 +40,7 @@
         self.observe = observe
         self.leases = leases
         self.promoter = promoter
+        self.member_list = member_list
         self.catalog = Catalog()
         self.daemons = Daemons(names=[name])
         self.roster = Roster(clock=clock, missing_grace=tuning.missing_grace)
@@ -80,7 +92,11 @@
         group = Group(spec=spec, around=self.around)
         self.groups[spec.name] = group
         self.takeovers[spec.name] = Takeover(
-            group=group, daemon=self.name, leases=self.leases, promoter=self.promoter
+            group=group,
+            daemon=self.name,
+            leases=self.leases,
+            promoter=self.promoter,
+            relist=self.relist,
         )
         self.refresh_members(spec.name)
         self.keep_running(group.watch.run)
@@ -93,6 +109,10 @@
         for name in self.groups:
             self.refresh_members(name)
 
+    async def relist(self):
+        """Read the list of upstreams now; raises LeaseError."""
+        self.take_members(await self.member_list.read_all())
+
     def take_member(self, member):
         """Take in one changed upstream."""
         kept = self.roster.seen(member)
--- a/packages/sessions/gypsum_sessions/roster.py
+++ b/packages/sessions/gypsum_sessions/roster.py
@@ -7,7 +7,8 @@
 class Member:
     """One upstream. `leads` is what it says of itself, late at times.
 
-    `missing_since` and `leaving_since` are on the daemon's clock, None if neither.
+    `listed_since`, `missing_since` and `leaving_since` are on the daemon's clock, the
+    last two None if it is neither.
     """
 
     id: str
@@ -17,6 +18,7 @@
     slots: int
     leads: bool = False
     leaving: bool = False
+    listed_since: float = 0.0
     leaving_since: float | None = None
     missing_since: float | None = None
 
@@ -35,7 +37,11 @@
         since = known.leaving_since if known else None
         if member.leaving and since is None:
             since = self.clock()
-        kept = replace(member, leaving_since=since if member.leaving else None)
+        kept = replace(
+            member,
+            listed_since=known.listed_since if known else self.clock(),
+            leaving_since=since if member.leaving else None,
+        )
         self.members[member.id] = kept
         return kept
 
--- a/packages/sessions/gypsum_sessions/session.py
+++ b/packages/sessions/gypsum_sessions/session.py
@@ -201,10 +201,12 @@
         """End an open transaction from our side; the caller learns of it later."""
         if self.tx is None or self.state is SessionState.FAILED:
             return
+        # Before anything is awaited: a statement that arrives meanwhile would find
+        # the transaction without a connection and open it anew.
+        self.state = SessionState.FAILED
         if self.tx.pooled is not None:
             group = self.proxy.groups.get(self.tx.route.group)
             await transactions.close(group, self.tx)
-        self.state = SessionState.FAILED
 
     # Small things
 
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -10,13 +10,13 @@
 """
 
 import asyncio
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import StrEnum
 
 from xxhash import xxh64_intdigest
 
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
+from gypsum_sessions.borrow import borrowed
 from gypsum_sessions.leader import prove_leads
 from gypsum_sessions.replies import UpstreamBusy, UpstreamError, UpstreamStatus
 from gypsum_sessions.statements import (
@@ -71,35 +71,16 @@
     return ranked.index(daemon) if daemon in ranked else len(ranked)
 
 
-@asynccontextmanager
-async def borrowed(around, item):
-    """A connection for a command: an idle one of the pool, else one of its own.
-
-    Commands must not wait behind callers' statements for a free connection.
-    """
-    pooled = item.pool.take_idle({})
-    if pooled is not None:
-        try:
-            yield pooled.conn
-        finally:
-            item.pool.release(pooled)
-        return
-    conn = await around.dialer.dial(item.member, timeout=around.tuning.dial_timeout)
-    try:
-        yield conn
-    finally:
-        conn.close()
-
-
 class Takeover:
     """Watches one group and replaces its primary when it is out of service."""
 
-    def __init__(self, *, group, daemon, leases, promoter):
+    def __init__(self, *, group, daemon, leases, promoter, relist):
         self.group = group
         self.around = group.around
         self.daemon = daemon
         self.leases = leases
         self.promoter = promoter
+        self.relist = relist
         self.lease = None
         self.spent_tokens = set()
         self.paused_by_us = {}
@@ -165,6 +146,7 @@
             return
         if not await self.take_lease(reason):
             return
+        await self.refresh(reason)
         old = self.group.watch.leader or self.group.watch.last_leader
         deadline = self.around.clock() + ATTEMPT_LIMIT
         while self.around.clock() < deadline:
@@ -176,6 +158,17 @@
             await asyncio.sleep(ROUND_PAUSE)
         self.log("attempt timed out")
 
+    async def refresh(self, reason):
+        """Read the members anew before anything is decided about them.
+
+        What goes wrong without it: a daemon that was cut off from the store does not
+        know of a promotion and of members that joined meanwhile; it sees the old
+        primary dead, and deposes the new one.
+        """
+        await self.relist()
+        if reason is Reason.NO_PRIMARY:
+            await self.group.watch.search()
+
     def settled(self, reason, old):
         """Tell whether the reason for an attempt is gone."""
         leader = self.group.watch.leader
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from gypsum_sessions.catalog import Route
+from gypsum_sessions.confirm import is_safe
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.pooled import PooledConn, roll_back
 from gypsum_sessions.reads import find_floor, no_leader, upstream_order
@@ -14,7 +15,7 @@
     UpstreamError,
 )
 from gypsum_sessions.statements import BEGIN_READING, BEGIN_WRITING
-from gypsum_sessions.writes import NotSent, level, take_live
+from gypsum_sessions.writes import NotSent, level, take_live, unconfirmed
 
 PART = "transaction"
 # Pause before a statement that the upstream's full queue turned away is sent again.
@@ -168,6 +169,7 @@
     number = group.stall.begin(asked_at) if tx.wrote else 0
     try:
         reply = await ask_until_run(group, tx, job)
+        stalled = group.stall.lasting(group.around.clock())
         if number:
             group.stall.end(number, group.around.clock())
     except UpstreamError as exc:
@@ -187,7 +189,11 @@
     tx.pooled.in_transaction = reply.state is not SessionState.IDLE
     await close(group, tx)
     if reply.ok:
-        if tx.writes and reply.position is not None:
+        if not tx.wrote:
+            return reply
+        if not await is_safe(group, reply.position, tx.upstream, stalled=stalled):
+            return unconfirmed()
+        if reply.position is not None:
             group.floors.learn(reply.position, asked_at)
         return reply
     group.watch.doubt(tx.upstream)
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -26,6 +26,18 @@
     stall_after: float = 0.8
     # Replicas that are fed show progress within this: their usual lag, ten times.
     stall_look: float = 0.3
+    # Without a replica to ask, a commit is trusted if writes had stood still for less.
+    stall_trust: float = 0.4
+    # A replica counts as known to every takeover this long after it was listed: the
+    # longest time from the start of one to its promotion.
+    settled_after: float = 4.0
+    # A commit reaches the second replica within this; its usual lag, ten times.
+    confirm_for: float = 0.1
+    confirm_pause: float = 0.01
+    # A dial that failed is not repeated for this long, doubling: each costs the
+    # upstream a slot, and callers' retries would dial without end.
+    redial_first: float = 0.1
+    redial_most: float = 1.0
     # Log that a stepped down primary has sent reaches its replicas within this.
     handover_pause: float = 0.05
     # A daemon further down the order waits this much longer per place.
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gypsum_sessions.confirm import is_safe
 from gypsum_sessions.pooled import bring_level
 from gypsum_sessions.reads import no_leader
 from gypsum_sessions.replies import (
@@ -74,9 +75,12 @@
         except UpstreamError as exc:
             group.watch.doubt(item.id)
             return lost_write(group, job, item, exc)
+        stalled = group.stall.lasting(clock())
         group.stall.end(number, clock())
         if reply.ok:
             item.answered(clock() - asked_at, reply.position, around.tuning)
+            if not await is_safe(group, reply.position, item.id, stalled=stalled):
+                return unconfirmed()
             if reply.position is not None:
                 group.floors.learn(reply.position, asked_at)
         if reply.refusal is Refusal.UNKNOWN_NAME:
@@ -86,6 +90,13 @@
         item.pool.release(pooled)
 
 
+def unconfirmed():
+    """The reply for a commit that a takeover might not find."""
+    return Reply(
+        refusal=Refusal.IN_DOUBT, detail="may have run, no known replica has it"
+    )
+
+
 def lost_write(group, job, item, exc):
     """The reply for a write that was sent and not answered."""
     if isinstance(exc, UpstreamLost) and not exc.sent:
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -45,6 +45,18 @@
         return self.lease
 
 
+class FakeMemberList:
+    """The list of upstreams as the store has it."""
+
+    def __init__(self, *, group):
+        self.group = group
+
+    async def read_all(self):
+        """All listed members."""
+        await asyncio.sleep(0.004)
+        return self.group.listing()
+
+
 class FakePromoter:
     """The platform's promotions, fenced by token; `late` orders act seconds later."""
 
@@ -103,6 +115,7 @@
             dialer=FakeDialer(group=self.group, loop=self.loop),
             leases=self.leases,
             promoter=self.promoter,
+            member_list=FakeMemberList(group=self.group),
             tuning=tuning,
             log=self.log,
             observe=lambda *args: None,
