--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,190 @@
+"""Callers' bytes: every message gets one whole answer, nothing unasked is run."""
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsum_platform.front import CallerConn
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+
+
+class FakeTransport:
+    """Keeps what was written."""
+
+    def __init__(self):
+        self.written = b""
+        self.closed = False
+
+    def write(self, data):
+        """Bytes to the caller."""
+        assert not self.closed
+        self.written += data
+
+    def close(self):
+        """The connection is closed from our side."""
+        self.closed = True
+
+    def is_closing(self):
+        """Tell whether it was closed."""
+        return self.closed
+
+    def get_extra_info(self, name):
+        """The socket, which takes any option."""
+        return self
+
+    def setsockopt(self, *args):
+        """Any option."""
+
+    def pause_reading(self):
+        """Read no further."""
+
+    def resume_reading(self):
+        """Read on."""
+
+    @property
+    def lines(self):
+        """What was written, line by line."""
+        return self.written.decode("latin-1").split("\r\n")[:-1]
+
+
+async def talk(rig, chunks, wait=0.5):
+    """Send chunks of bytes; returns the transport."""
+    conn, transport = CallerConn(proxy=rig.proxy), FakeTransport()
+    conn.connection_made(transport)
+    for chunk in chunks:
+        conn.data_received(chunk)
+        await asyncio.sleep(0)
+    await asyncio.sleep(wait)
+    return transport
+
+
+def lines_of(chunks, wait=0.5):
+    """Run one conversation; the lines that came back, and the rig."""
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        transport = await talk(rig, chunks, wait)
+        return transport, rig
+
+    return run(main())
+
+
+def test_pipelined_statements_are_answered_in_their_order():
+    text = b"STARTUP own u\r\nQUERY 1 WRITE a x\r\nQUERY 2 READ a\r\n"
+    transport, _ = lines_of([text])
+    assert transport.lines[0] == "READY I -"
+    assert transport.lines[1].startswith("COMPLETE u1:1")
+    assert transport.lines[3] == "DATAROW x"
+
+
+def test_lines_cut_in_pieces():
+    text = b"STARTUP own u\r\nQUERY 1 WRITE a x\r\n"
+    transport, _ = lines_of([text[i : i + 1] for i in range(len(text))])
+    assert transport.lines[1].startswith("COMPLETE u1:1")
+
+
+def test_an_unknown_database_is_refused_and_closed():
+    transport, _ = lines_of([b"STARTUP nobody u\r\n"])
+    assert transport.lines == ["ERROR UNKNOWNDB nobody"]
+    assert transport.closed
+
+
+def test_a_statement_before_the_opening_is_refused():
+    transport, rig = lines_of([b"QUERY 1 WRITE a x\r\n"])
+    assert transport.lines[0].startswith("ERROR MALFORMED")
+    assert transport.closed and rig.group.commits == 0
+
+
+def test_unknown_words_end_the_session():
+    transport, _ = lines_of([b"STARTUP own u\r\nHELLO\r\n"])
+    assert transport.lines[-1].startswith("ERROR MALFORMED")
+    assert transport.closed
+
+
+def test_unknown_statements_leave_the_session_usable():
+    text = b"STARTUP own u\r\nQUERY 1 DROP a\r\nQUERY 2 READ a\r\n"
+    transport, _ = lines_of([text])
+    assert transport.lines[1].startswith("ERROR MALFORMED")
+    assert transport.lines[2] == "READY I -"
+    assert transport.lines[-2].startswith("COMPLETE")
+
+
+def test_callers_cannot_send_the_proxys_own_commands():
+    for command in (b"STATUS", b"PAUSE 9", b"STEPDOWN 9", b"RESET", b"RESUME"):
+        transport, rig = lines_of([b"STARTUP own u\r\nQUERY - " + command + b"\r\n"])
+        assert transport.lines[1].startswith("ERROR MALFORMED")
+        assert all(not member.paused for member in rig.group.members)
+
+
+def test_a_message_that_is_too_long_ends_the_session():
+    transport, _ = lines_of(
+        [b"STARTUP own u\r\n", b"QUERY 1 WRITE a " + b"x" * (1 << 20)]
+    )
+    assert transport.lines[-1].startswith("ERROR TOOLARGE")
+    assert transport.closed
+
+
+def test_a_second_opening_ends_the_session():
+    transport, _ = lines_of([b"STARTUP own u\r\nSTARTUP own u\r\n"])
+    assert transport.lines[-1].startswith("ERROR MALFORMED")
+
+
+def test_goodbye_closes():
+    transport, _ = lines_of([b"STARTUP own u\r\nTERMINATE\r\n"])
+    assert transport.lines == ["READY I -"]
+    assert transport.closed
+
+
+def test_before_the_first_configuration_callers_wait_a_moment():
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        known, rig.proxy.catalog.current = rig.proxy.catalog.current, None
+        conn, transport = CallerConn(proxy=rig.proxy), FakeTransport()
+        conn.connection_made(transport)
+        conn.data_received(b"STARTUP own u\r\n")
+        await asyncio.sleep(1.0)
+        rig.proxy.catalog.current = known
+        await asyncio.sleep(0.2)
+        assert transport.lines == ["READY I -"]
+
+    run(main())
+
+
+WORDS = st.sampled_from(
+    [
+        b"STARTUP own u",
+        b"QUERY 1 BEGIN",
+        b"QUERY 2 BEGIN READ",
+        b"QUERY 3 WRITE a x",
+        b"QUERY 4 READ a",
+        b"QUERY 5 COMMIT",
+        b"QUERY 6 ROLLBACK",
+        b"QUERY 7 PREPARE s WRITE q",
+        b"QUERY 8 EXECUTE s a y",
+        b"QUERY 9 DEALLOC s",
+        b"QUERY 10 SET v w",
+        b"QUERY",
+        b"QUERY 11",
+        b"TERMINATE",
+        b"",
+        b"\xff\x00",
+        b"COMPLETE -",
+    ]
+)
+
+
+@given(st.lists(WORDS, max_size=12), st.integers(1, 50))
+@settings(derandomize=True, max_examples=60, deadline=None)
+def test_any_talk_gets_at_most_one_answer_a_message(messages, size):
+    stream = b"".join(item + b"\r\n" for item in [b"STARTUP own u", *messages])
+    chunks = [stream[i : i + size] for i in range(0, len(stream), size)]
+    transport, rig = lines_of(chunks, wait=3.0)
+    ready = [text for text in transport.lines if text.startswith("READY")]
+    assert transport.lines[0] == "READY I -"
+    assert len(ready) <= 1 + len(messages)
+    writes = sum(b"WRITE" in item or b"EXECUTE" in item for item in messages)
+    assert rig.group.commits <= writes
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,250 @@
+"""The store's client against a small store: conditions, watches, faults."""
+
+import asyncio
+
+import pytest
+
+from gypsum_platform import store as store_module
+from gypsum_platform.feeds import ConfigTaker, Feed, UpstreamTaker
+from gypsum_platform.leases import PlatformPromoter, StoreLeases
+from gypsum_platform.store import Conflict, HistoryGone, Store, StoreError
+from gypsum_sessions.borders import LeaseError, PromoteOutcome
+from tests.standins.objectstore import ObjectStore
+
+
+def with_store(main):
+    """Run a test against a store of its own."""
+
+    async def body():
+        stand_in = ObjectStore()
+        client = Store(address=stand_in.listen())
+        try:
+            await main(stand_in, client)
+        finally:
+            client.close()
+
+    asyncio.run(body())
+
+
+def test_objects_are_created_replaced_on_condition_and_deleted():
+    async def main(stand_in, client):
+        made = await client.create("kind", "a", {"x": 1})
+        with pytest.raises(Conflict):
+            await client.create("kind", "a", {"x": 2})
+        changed = await client.replace("kind", "a", {"x": 3}, revision=made.revision)
+        with pytest.raises(Conflict) as caught:
+            await client.replace("kind", "a", {"x": 4}, revision=made.revision)
+        assert caught.value.current.spec == {"x": 3}
+        assert (await client.get_object("kind", "a")).revision == changed.revision
+        await client.delete("kind", "a")
+        assert await client.get_object("kind", "a") is None
+
+    with_store(main)
+
+
+def test_long_lists_come_in_parts():
+    async def main(stand_in, client):
+        for number in range(1201):
+            stand_in.put("kind", f"n{number:05}", {})
+        objects, revision = await client.list_objects("kind")
+        assert len(objects) == 1201 and revision == 1201
+
+    with_store(main)
+
+
+def test_a_watch_tells_changes_and_deletions():
+    async def main(stand_in, client):
+        _, revision = await client.list_objects("kind")
+        watching = asyncio.create_task(client.watch("kind", revision))
+        await asyncio.sleep(0.05)
+        stand_in.put("kind", "a", {"x": 1})
+        changes, revision = await watching
+        assert [change.obj.name for change in changes] == ["a"]
+        stand_in.remove("kind", "a")
+        changes, _ = await client.watch("kind", revision)
+        assert changes[0].deleted
+
+    with_store(main)
+
+
+def test_a_forgotten_history_is_told():
+    async def main(stand_in, client):
+        stand_in.put("kind", "a", {})
+        stand_in.forget_history()
+        with pytest.raises(HistoryGone):
+            await client.watch("kind", 0)
+
+    with_store(main)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_refusal_says_that_nothing_was_done(status):
+    async def main(stand_in, client):
+        stand_in.refuse = status
+        with pytest.raises(StoreError) as caught:
+            await client.create("kind", "a", {})
+        assert not caught.value.may_be_done
+        assert caught.value.step == "create"
+
+    with_store(main)
+
+
+def test_a_silent_store_is_an_error_of_ours(monkeypatch):
+    """Symptom: the configuration stays old for the rest of the process's life.
+
+    Sequence: the store is silent, the HTTP client raises its own timeout error, the
+    watch's task ends. Cause: that error is raised even when asked not to.
+    """
+    monkeypatch.setattr(store_module, "WATCH_MARGIN", 0.2)
+
+    async def main(stand_in, client):
+        stand_in.silent = True
+        with pytest.raises(StoreError):
+            await client.watch("kind", 0, wait_ms=50)
+
+    with_store(main)
+
+
+class ProxyDouble:
+    """Takes what feeds hand on."""
+
+    def __init__(self):
+        self.versions = []
+        self.members = {}
+        self.lines = []
+
+    def log(self, part, event, **fields):
+        """Keep a line."""
+        self.lines.append((part, event))
+
+    def offer_catalog(self, candidate, source):
+        """A configuration."""
+        self.versions.append(candidate.version)
+
+    def take_members(self, members):
+        """A whole list."""
+        self.members = {member.id: member for member in members}
+
+    def take_member(self, member):
+        """One entry."""
+        self.members[member.id] = member
+
+    def drop_member(self, upstream):
+        """An entry vanished."""
+        self.members.pop(upstream, None)
+
+
+def config(version):
+    """A small configuration."""
+    return {
+        "configVersion": version,
+        "routes": [],
+        "services": [],
+        "limits": {"txIdleMs": 3000},
+    }
+
+
+def entry(**changes):
+    """A small entry of an upstream."""
+    spec = {
+        "service": "g",
+        "address": "10.0.0.1:1",
+        "zone": "a",
+        "capacity": 5,
+        "state": "ready",
+        "dbRole": "replica",
+    }
+    return {**spec, **changes}
+
+
+async def until(condition):
+    """Wait until a condition holds; pytest's own timeout would end a hang."""
+    for _ in range(2000):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("it never came")
+
+
+def test_a_feed_lives_through_outages_and_lost_history():
+    async def main(stand_in, client):
+        proxy = ProxyDouble()
+        taker = ConfigTaker(proxy=proxy)
+        stand_in.put("config", "main", config(1))
+        feed = Feed(
+            store=client,
+            kind="config",
+            take_all=taker.take_all,
+            take_change=taker.take_change,
+            log=proxy.log,
+        )
+        task = asyncio.create_task(feed.run())
+        await until(lambda: proxy.versions == [1])
+        stand_in.refuse = 503
+        stand_in.put("config", "main", config(4))
+        await until(lambda: ("store", "lost") in proxy.lines or 4 in proxy.versions)
+        stand_in.forget_history()
+        stand_in.refuse = 0
+        stand_in.put("config", "main", config(9))
+        await until(lambda: proxy.versions and proxy.versions[-1] == 9)
+        task.cancel()
+
+    with_store(main)
+
+
+def test_an_unusable_configuration_or_entry_is_left_aside():
+    proxy = ProxyDouble()
+    broken = store_module.StoredObject(name="main", revision=3, spec={"routes": []})
+    ConfigTaker(proxy=proxy).take_all([broken])
+    taker = UpstreamTaker(store=None, log=proxy.log)
+    taker.proxy = proxy
+    good = store_module.StoredObject(name="i-1", revision=1, spec=entry())
+    taker.take_all([good, store_module.StoredObject(name="x", revision=2, spec={})])
+    assert proxy.versions == []
+    assert set(proxy.members) == {"i-1"}
+    assert ("store", "unusable configuration") in proxy.lines
+    assert ("store", "unusable entry") in proxy.lines
+
+
+def test_leases_are_taken_once_by_one():
+    async def main(stand_in, client):
+        leases = StoreLeases(store=client)
+        seen = await leases.read("g")
+        assert (seen.holder, seen.token) == ("", 0)
+        mine = await leases.take("g", "d1", seen)
+        assert (mine.holder, mine.token) == ("d1", 1)
+        assert await leases.take("g", "d2", seen) is None
+        next_one = await leases.take("g", "d2", await leases.read("g"))
+        assert next_one.token == 2
+
+    with_store(main)
+
+
+def test_an_unanswered_take_is_an_error_not_a_lease():
+    async def main(stand_in, client):
+        leases = StoreLeases(store=client)
+        stand_in.lose = 1
+        with pytest.raises(LeaseError):
+            await leases.take("g", "d1", await leases.read("g"))
+        assert (await leases.read("g")).holder == "d1"
+
+    with_store(main)
+
+
+def test_promotions_are_ordered_with_holder_and_token():
+    async def main(stand_in, client):
+        orders = []
+
+        def promote(group, upstream, token):
+            orders.append((group, upstream, token))
+            return token > 1
+
+        stand_in.promote = promote
+        promoter = PlatformPromoter(address=client.address)
+        assert await promoter.promote("g", "u", "d", 1) is PromoteOutcome.REFUSED
+        assert await promoter.promote("g", "u", "d", 2) is PromoteOutcome.ACCEPTED
+        stand_in.refuse = 503
+        assert await promoter.promote("g", "u", "d", 3) is PromoteOutcome.NOT_DONE
+        assert orders == [("g", "u", 1), ("g", "u", 2)]
+
+    with_store(main)
--- /dev/null
+++ b/tests/standins/objectstore.py
@@ -0,0 +1,201 @@
+"""A small object store over HTTP, as the users' pages describe it, with faults."""
+
+import asyncio
+import json
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+LIST_SIZE = 500
+
+
+class ObjectStore:
+    """Objects by kind and name, one rising revision, a history for watches.
+
+    `refuse` is a status that every call gets; `silent` holds every answer back;
+    `lose` is how many writes are done and not answered.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self.kinds = {}
+        self.history = []
+        self.oldest = 0
+        self.refuse = 0
+        self.silent = False
+        self.lose = 0
+        self.calls = []
+        self.changed = asyncio.Event()
+        self.promote = None
+
+    def put(self, kind, name, spec):
+        """Write an object, whatever it was."""
+        self.revision += 1
+        known = self.kinds.setdefault(kind, {}).get(name)
+        created = known["meta"]["createdRev"] if known else self.revision
+        meta = {
+            "name": name,
+            "revision": self.revision,
+            "createdRev": created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        obj = {"meta": meta, "spec": spec, "status": None}
+        self.kinds[kind][name] = obj
+        self.note(kind, obj, deleted=False)
+        return obj
+
+    def remove(self, kind, name):
+        """Delete an object."""
+        obj = self.kinds.get(kind, {}).pop(name, None)
+        if obj is not None:
+            self.revision += 1
+            self.note(kind, obj, deleted=True)
+        return obj
+
+    def note(self, kind, obj, *, deleted):
+        """Keep a change for watches and wake them."""
+        self.history.append((self.revision, kind, {"object": obj, "deleted": deleted}))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        """Drop the history: watches from before get 410."""
+        self.oldest = self.revision
+        self.history.clear()
+
+    def listen(self):
+        """Serve on a port of the system's choice; returns the address."""
+        from tornado.netutil import bind_sockets
+
+        sockets = bind_sockets(0, "127.0.0.1")
+        app = Application(
+            [
+                (r"/api/objects/([^/]+)", KindHandler, {"store": self}),
+                (r"/api/objects/([^/]+)/([^/]+)", NameHandler, {"store": self}),
+                (r"/failover", PromoteHandler, {"store": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        HTTPServer(app).add_sockets(sockets)
+        return f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+
+class StoreHandler(RequestHandler):
+    """What all calls share: faults, JSON."""
+
+    def initialize(self, store):
+        """Take the store."""
+        self.store = store
+
+    async def prepare(self):
+        """Apply the faults."""
+        self.store.calls.append((self.request.method, self.request.uri))
+        while self.store.silent:
+            await asyncio.sleep(0.05)
+        if self.store.refuse:
+            self.set_status(self.store.refuse)
+            self.finish()
+
+    def answer(self, body, status=200):
+        """Answer with JSON, unless the answer is to be lost."""
+        if self.request.method != "GET" and self.store.lose:
+            self.store.lose -= 1
+            self.request.connection.stream.close()
+            self._finished = True
+            return
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(body))
+
+
+class KindHandler(StoreHandler):
+    """Lists, watches, creates."""
+
+    async def get(self, kind):
+        """The objects of a kind, or what has changed."""
+        since = self.get_query_argument("watch", None)
+        if since is not None:
+            await self.watch(kind, int(since))
+            return
+        after = self.get_query_argument("after", "")
+        names = sorted(n for n in self.store.kinds.get(kind, {}) if n > after)
+        items = [self.store.kinds[kind][name] for name in names[:LIST_SIZE]]
+        more = len(names) > LIST_SIZE
+        body = {"items": items, "more": more, "storeRevision": self.store.revision}
+        self.answer(body)
+
+    async def watch(self, kind, since):
+        """Changes since a revision, as soon as there is one."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(self.get_query_argument("waitMs", "0")) / 1000
+        while True:
+            if since < self.store.oldest:
+                self.answer({"error": "gone"}, 410)
+                return
+            events = [
+                event
+                for revision, changed, event in self.store.history
+                if revision > since and changed == kind
+            ]
+            left = until - loop.time()
+            if events or left <= 0:
+                break
+            await self.wait(left)
+        self.answer({"events": events, "storeRevision": self.store.revision})
+
+    async def wait(self, seconds):
+        """Wait for a change."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.store.changed.wait()
+        except TimeoutError:
+            return
+
+    def post(self, kind):
+        """Create an object."""
+        body = json.loads(self.request.body)
+        name = body["meta"]["name"]
+        known = self.store.kinds.get(kind, {}).get(name)
+        if known is not None:
+            self.answer(known, 409)
+            return
+        self.answer(self.store.put(kind, name, body["spec"]))
+
+
+class NameHandler(StoreHandler):
+    """One object."""
+
+    def get(self, kind, name):
+        """The object, or 404."""
+        known = self.store.kinds.get(kind, {}).get(name)
+        self.answer(known or {"error": "missing"}, 200 if known else 404)
+
+    def put(self, kind, name):
+        """Replace the object if it is at the given revision."""
+        body = json.loads(self.request.body)
+        known = self.store.kinds.get(kind, {}).get(name)
+        if known is None:
+            self.answer({"error": "missing"}, 404)
+            return
+        expected = body["meta"].get("revision", known["meta"]["revision"])
+        if expected != known["meta"]["revision"]:
+            self.answer(known, 409)
+            return
+        self.answer(self.store.put(kind, name, body["spec"]))
+
+    def delete(self, kind, name):
+        """Delete the object."""
+        known = self.store.remove(kind, name)
+        self.answer(known or {"error": "missing"}, 200 if known else 404)
+
+
+class PromoteHandler(StoreHandler):
+    """The platform's call that promotes."""
+
+    def post(self):
+        """Hand the order to whoever plays the group."""
+        body = json.loads(self.request.body)
+        token = int(self.request.headers["X-Fencing-Token"])
+        accepted = self.store.promote(body["service"], body["id"], token)
+        self.answer({}, 200 if accepted else 409)
