--- /dev/null
+++ b/tests/sessions/test_pool.py
@@ -0,0 +1,143 @@
+"""Connections to one upstream: few, shared in turn, none leaked."""
+
+import asyncio
+
+import pytest
+
+from gypsum_sessions.pool import ConnPool
+from gypsum_sessions.replies import UpstreamError, UpstreamLost, UpstreamSilent
+from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
+from tests.sessions.fakegroup import FakeDialer, FakeGroup
+from tests.sessions.vclock import run
+
+
+def make_pool(limit=2):
+    """A pool of connections to the first member of a group."""
+    loop = asyncio.get_running_loop()
+    group = FakeGroup().add()
+    dialer = FakeDialer(group=group, loop=loop)
+    pool = ConnPool(
+        member=group.listing()[0],
+        dialer=dialer,
+        limit=limit,
+        clock=loop.clock,
+        tuning=DEFAULT_SESSION_TUNING,
+    )
+    return pool, group, dialer
+
+
+def test_connections_are_kept_and_used_again():
+    async def main():
+        pool, _, dialer = make_pool()
+        for _ in range(5):
+            pool.release(await pool.acquire(values={}, timeout=1.0))
+        assert dialer.dials == 1
+
+    run(main())
+
+
+def test_the_connection_with_the_same_values_is_preferred():
+    async def main():
+        pool, _, _ = make_pool()
+        first = await pool.acquire(values={}, timeout=1.0)
+        second = await pool.acquire(values={}, timeout=1.0)
+        first.values["tz"] = "x"
+        pool.release(first)
+        pool.release(second)
+        assert await pool.acquire(values={"tz": "x"}, timeout=1.0) is first
+
+    run(main())
+
+
+def test_who_waits_longest_is_served_first():
+    async def main():
+        pool, _, _ = make_pool(limit=1)
+        held = await pool.acquire(values={}, timeout=1.0)
+        order = []
+
+        async def wait(name):
+            pooled = await pool.acquire(values={}, timeout=1.0)
+            order.append(name)
+            pool.release(pooled)
+
+        tasks = [asyncio.create_task(wait(name)) for name in "abc"]
+        await asyncio.sleep(0.01)
+        pool.release(held)
+        await asyncio.gather(*tasks)
+        assert order == ["a", "b", "c"]
+
+    run(main())
+
+
+def test_a_wait_ends_at_its_time_and_loses_no_connection():
+    async def main():
+        pool, _, _ = make_pool(limit=1)
+        held = await pool.acquire(values={}, timeout=1.0)
+        with pytest.raises(UpstreamSilent):
+            await pool.acquire(values={}, timeout=0.2)
+        pool.release(held)
+        pool.release(await pool.acquire(values={}, timeout=0.2))
+        assert pool.in_use == 0 and pool.opened == 1
+
+    run(main())
+
+
+def test_a_broken_connection_makes_room_for_a_new_one():
+    async def main():
+        pool, _, _ = make_pool(limit=1)
+        held = await pool.acquire(values={}, timeout=1.0)
+        waiting = asyncio.create_task(pool.acquire(values={}, timeout=1.0))
+        await asyncio.sleep(0.01)
+        held.conn.close()
+        pool.release(held)
+        assert (await waiting).alive
+        assert pool.opened == 1
+
+    run(main())
+
+
+def test_failed_dials_are_put_off_ever_longer():
+    """Symptom: a dead upstream is dialled hundreds of times a second.
+
+    Sequence: an upstream crashes, every statement that would go there dials. Cause:
+    nothing remembered that the last dial had failed a moment ago.
+    """
+
+    async def main():
+        pool, group, dialer = make_pool()
+        group["u1"].crash()
+        for _ in range(200):
+            with pytest.raises(UpstreamError):
+                await pool.acquire(values={}, timeout=1.0)
+            await asyncio.sleep(0.01)
+        assert dialer.dials <= 6
+        group["u1"].restart()
+        await asyncio.sleep(DEFAULT_SESSION_TUNING.redial_most)
+        pool.release(await pool.acquire(values={}, timeout=1.0))
+        assert pool.redial_after == 0.0
+
+    run(main())
+
+
+def test_a_refused_acquire_provably_sent_nothing():
+    async def main():
+        pool, group, _ = make_pool()
+        group["u1"].crash()
+        with pytest.raises(UpstreamLost):
+            await pool.acquire(values={}, timeout=1.0)
+        with pytest.raises(UpstreamLost) as caught:
+            await pool.acquire(values={}, timeout=1.0)
+        assert not caught.value.sent
+
+    run(main())
+
+
+def test_a_closed_pool_closes_what_comes_back():
+    async def main():
+        pool, _, _ = make_pool()
+        held = await pool.acquire(values={}, timeout=1.0)
+        pool.close()
+        pool.release(held)
+        assert not held.alive and pool.opened == 0
+
+    run(main())
--- /dev/null
+++ b/tests/sessions/test_roster.py
@@ -0,0 +1,72 @@
+"""Members come, leave and vanish from the list."""
+
+from gypsum_sessions.roster import Member, Roster
+
+
+def member(name, **changes):
+    """A member of one group."""
+    fields = {
+        "id": name,
+        "group": "g",
+        "address": "x:1",
+        "domain": "a",
+        "slots": 5,
+    }
+    return Member(**{**fields, **changes})
+
+
+class Clock:
+    """A clock that is set by hand."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_roster():
+    """A roster and its clock."""
+    clock = Clock()
+    return Roster(clock=clock, missing_grace=2.5), clock
+
+
+def test_a_vanished_entry_is_kept_for_its_grace():
+    """Symptom: all upstreams are gone after an outage of the store.
+
+    Sequence: the store is down, the entries' leases run out, the store is back and
+    lists nobody; a second later the entries return. Cause: the list was believed.
+    """
+    roster, clock = make_roster()
+    roster.seen(member("a"))
+    roster.replace_all([])
+    clock.now += 2.0
+    assert roster.expire() == []
+    assert roster.of_group("g")[0].missing_since == 100.0
+    roster.seen(member("a"))
+    clock.now += 10.0
+    assert roster.expire() == []
+
+
+def test_an_entry_that_stays_away_is_dropped():
+    roster, clock = make_roster()
+    roster.seen(member("a"))
+    roster.gone("a")
+    clock.now += 2.5
+    assert [item.id for item in roster.expire()] == ["a"]
+    assert roster.of_group("g") == []
+
+
+def test_leaving_counts_from_the_first_time_it_was_seen():
+    roster, clock = make_roster()
+    roster.seen(member("a", leaving=True))
+    clock.now += 1.0
+    assert roster.seen(member("a", leaving=True)).leaving_since == 100.0
+    assert roster.seen(member("a")).leaving_since is None
+
+
+def test_listed_since_survives_changes():
+    roster, clock = make_roster()
+    roster.seen(member("a"))
+    clock.now += 9.0
+    assert roster.seen(member("a", leads=True)).listed_since == 100.0
--- /dev/null
+++ b/tests/sessions/test_router.py
@@ -0,0 +1,79 @@
+"""The order in which upstreams are asked for a read."""
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsum_sessions.router import Candidate, order_for_read
+
+PLAIN = Candidate(
+    id="a",
+    expected=0.03,
+    ahead=0,
+    slots=5,
+    leads=False,
+    far=False,
+    leaving=False,
+    avoided=False,
+    lagging=False,
+    full=False,
+)
+
+
+def order(*candidates):
+    """The order of some candidates."""
+    return order_for_read(candidates, far_cost=0.002)
+
+
+def test_replicas_come_before_the_leader():
+    assert order(replace(PLAIN, id="a", leads=True), replace(PLAIN, id="b")) == [
+        "b",
+        "a",
+    ]
+
+
+def test_a_leader_is_asked_when_replicas_are_slower_by_more_than_a_statement():
+    slow = replace(PLAIN, id="b", expected=0.2)
+    assert order(replace(PLAIN, leads=True), slow) == ["a", "b"]
+
+
+def test_the_near_one_of_two_equals_is_asked():
+    assert order(replace(PLAIN, id="a", far=True), replace(PLAIN, id="b"))[0] == "b"
+
+
+def test_load_outweighs_nearness():
+    loaded = replace(PLAIN, id="a", ahead=5)
+    assert order(loaded, replace(PLAIN, id="b", far=True))[0] == "b"
+
+
+def test_failed_leaving_and_lagging_ones_come_last_but_come():
+    names = order(
+        replace(PLAIN, id="a", avoided=True),
+        replace(PLAIN, id="b", leaving=True),
+        replace(PLAIN, id="c", lagging=True),
+        replace(PLAIN, id="d", leads=True, expected=0.3),
+    )
+    assert names == ["d", "c", "b", "a"]
+
+
+@given(
+    st.lists(
+        st.builds(
+            Candidate,
+            id=st.uuids().map(str),
+            expected=st.floats(0.001, 10),
+            ahead=st.integers(0, 50),
+            slots=st.integers(0, 50),
+            leads=st.booleans(),
+            far=st.booleans(),
+            leaving=st.booleans(),
+            avoided=st.booleans(),
+            lagging=st.booleans(),
+            full=st.booleans(),
+        )
+    )
+)
+def test_everybody_is_in_the_order_once(candidates):
+    names = order(*candidates)
+    assert sorted(names) == sorted(item.id for item in candidates)
--- /dev/null
+++ b/tests/sessions/test_settings.py
@@ -0,0 +1,51 @@
+"""Settings: checked, with errors that name the place."""
+
+import json
+
+import pytest
+
+from gypsum_sessions.settings import SettingsError, load_session_settings
+
+GOOD = {
+    "daemon": "d1",
+    "domain": "a",
+    "callers": "10.0.0.1:8784",
+    "probes": "10.0.0.1:8785",
+    "store": "10.0.9.1:80",
+    "spare_ports": [7440, 7455],
+}
+
+
+def load(tmp_path, data):
+    """Load settings from a file with this content."""
+    path = tmp_path / "settings.json"
+    path.write_text(data if isinstance(data, str) else json.dumps(data))
+    return load_session_settings(path)
+
+
+def test_good_settings(tmp_path):
+    settings = load(tmp_path, GOOD)
+    assert settings.spare_ports == (7440, 7455)
+    assert settings.grace_seconds == 6.0
+
+
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        ({"callers": "nowhere"}, "callers"),
+        ({"daemon": ""}, "daemon"),
+        ({"grace_seconds": 0}, "grace_seconds"),
+        ({"unheard_of": 1}, "unheard_of"),
+        ({"spare_ports": [1]}, "spare_ports"),
+    ],
+)
+def test_errors_name_the_place(tmp_path, change, place):
+    with pytest.raises(SettingsError, match=place):
+        load(tmp_path, {**GOOD, **change})
+
+
+def test_missing_and_broken_files(tmp_path):
+    with pytest.raises(SettingsError, match="No such file"):
+        load_session_settings(tmp_path / "none.json")
+    with pytest.raises(SettingsError, match="no valid JSON"):
+        load(tmp_path, "{")
