Leases have an age, resumed replicas are confirmed first, replaced members are not waited for

Change: leases are watched; one that changed hands a moment ago is left to its holder; paused replicas are resumed only after the lease has rested, and after the primary was confirmed under a new token, which also refuses late orders; a member whose address another upstream has taken is dropped at once.

--- /dev/null
+++ b/packages/sessions/gypsum_sessions/leaseboard.py
@@ -0,0 +1,42 @@
+"""The promotion leases as this daemon has seen them change."""
+
+from dataclasses import dataclass
+
+from gypsum_sessions.borders import PromotionLease
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SeenLease:
+    """A lease and when this daemon first saw it so, on its own clock."""
+
+    lease: PromotionLease
+    seen_at: float
+
+
+class LeaseBoard:
+    """The newest lease of each group.
+
+    The store's clock and other daemons' clocks are not ours, so a lease's age is the
+    time since we saw it change. What goes wrong without an age: a daemon takes the
+    lease over while its holder waits for a promotion to show, and undoes its work.
+    """
+
+    def __init__(self, *, clock):
+        self.clock = clock
+        self.seen = {}
+
+    def note(self, group, lease):
+        """Take in a lease as the store has it; older news are ignored."""
+        known = self.seen.get(group)
+        if known is None or lease.token > known.lease.token:
+            self.seen[group] = SeenLease(lease=lease, seen_at=self.clock())
+
+    def token(self, group):
+        """The newest token known, 0 if there is none."""
+        known = self.seen.get(group)
+        return known.lease.token if known else 0
+
+    def age(self, group):
+        """Seconds since the lease changed hands, as far as we saw."""
+        known = self.seen.get(group)
+        return self.clock() - known.seen_at if known else float("inf")
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -4,7 +4,8 @@
 
 from gypsum_sessions.catalog import Catalog
 from gypsum_sessions.group import Daemons, Group, Surroundings
-from gypsum_sessions.replies import SessionState
+from gypsum_sessions.leaseboard import LeaseBoard
+from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
 from gypsum_sessions.roster import Roster
 from gypsum_sessions.session import Session
 from gypsum_sessions.takeover import Takeover
@@ -16,6 +17,23 @@
 RESTART_PAUSE = 0.5
 
 
+class CheckingDialer:
+    """Dials, and tells when another upstream answers at a member's address."""
+
+    def __init__(self, *, dialer, replaced):
+        self.dialer = dialer
+        self.replaced = replaced
+
+    async def dial(self, member, *, timeout):
+        """Open a connection; raises UpstreamLost or UpstreamRefused."""
+        try:
+            return await self.dialer.dial(member, timeout=timeout)
+        except UpstreamRefused as exc:
+            if exc.refusal is Refusal.WRONG_UPSTREAM:
+                self.replaced(member, exc.detail)
+            raise
+
+
 class Proxy:
     """Everything that one daemon serves sessions with."""
 
@@ -39,6 +57,7 @@
         self.log = log
         self.observe = observe
         self.leases = leases
+        self.board = LeaseBoard(clock=clock)
         self.promoter = promoter
         self.member_list = member_list
         self.catalog = Catalog()
@@ -46,7 +65,7 @@
         self.roster = Roster(clock=clock, missing_grace=tuning.missing_grace)
         self.around = Surroundings(
             clock=clock,
-            dialer=dialer,
+            dialer=CheckingDialer(dialer=dialer, replaced=self.member_replaced),
             tuning=tuning,
             log=log,
             domain=domain,
@@ -95,6 +114,7 @@
             group=group,
             daemon=self.name,
             leases=self.leases,
+            board=self.board,
             promoter=self.promoter,
             relist=self.relist,
         )
@@ -134,6 +154,16 @@
         for name in self.groups:
             self.refresh_members(name)
 
+    def member_replaced(self, member, detail):
+        """Another upstream is at a member's address: the member is gone for good.
+
+        What goes wrong without it: a takeover waits for a replica that no longer
+        exists until the list forgets it, seconds later.
+        """
+        if self.roster.members.pop(member.id, None) is not None:
+            self.log(PART, "upstream replaced", upstream=member.id, by=detail)
+            self.refresh_members(member.group)
+
     def refresh_members(self, name):
         """Hand a group its members as the roster has them."""
         group = self.groups.get(name)
--- a/packages/sessions/gypsum_sessions/replies.py
+++ b/packages/sessions/gypsum_sessions/replies.py
@@ -114,6 +114,7 @@
     def __init__(self, message, *, step, peer, refusal):
         super().__init__(message, step=step, peer=peer)
         self.refusal = refusal
+        self.detail = message
 
 
 class UpstreamBusy(UpstreamError):
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -43,6 +43,7 @@
     NO_PRIMARY = "no primary"
     LEAVES = "the primary leaves"
     STALLED = "writes stand still"
+    RESUME = "replicas were paused for nothing"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,16 +75,17 @@
 class Takeover:
     """Watches one group and replaces its primary when it is out of service."""
 
-    def __init__(self, *, group, daemon, leases, promoter, relist):
+    def __init__(self, *, group, daemon, leases, board, promoter, relist):
         self.group = group
         self.around = group.around
         self.daemon = daemon
         self.leases = leases
+        self.board = board
         self.promoter = promoter
         self.relist = relist
         self.lease = None
-        self.spent_tokens = set()
         self.paused_by_us = {}
+        self.missing = []
         self.rest_until = 0.0
         self.promotions = 0
 
@@ -97,8 +99,8 @@
             await asyncio.sleep(LOOK_EVERY)
             reason = self.reason()
             if reason is None:
-                if self.group.watch.leader and self.paused_by_us:
-                    await self.resume_all()
+                reason = Reason.RESUME if self.may_resume() else None
+            if reason is None:
                 continue
             try:
                 await self.attempt(reason)
@@ -126,6 +128,14 @@
             return None
         return Reason.LEAVES if self.successors(member.id) else None
 
+    def may_resume(self):
+        """Tell whether replicas that we paused should go on."""
+        return bool(
+            self.group.watch.leader
+            and self.paused_by_us
+            and self.around.clock() >= self.rest_until
+        )
+
     def place(self):
         """This daemon's place in the order for the group."""
         return place_in_order(self.around.daemons.names, self.daemon, self.group.name)
@@ -142,6 +152,9 @@
 
     async def attempt(self, reason):
         """Take the lease, pause the replicas, promote the longest log."""
+        if reason is Reason.RESUME:
+            await self.resume_all()
+            return
         if reason is Reason.STALLED and not await self.confirm_stall():
             return
         if not await self.take_lease(reason):
@@ -153,11 +166,18 @@
             if self.settled(reason, old):
                 self.log("given up, the reason is gone", reason=str(reason))
                 return
+            if self.superseded():
+                self.log("given up, another daemon took over")
+                return
             if await self.try_once(old, step_down=reason is Reason.LEAVES):
                 return
             await asyncio.sleep(ROUND_PAUSE)
         self.log("attempt timed out")
 
+    def superseded(self):
+        """Tell whether a higher token than ours is known."""
+        return self.board.token(self.group.name) > self.lease.token
+
     async def refresh(self, reason):
         """Read the members anew before anything is decided about them.
 
@@ -205,21 +225,43 @@
             if status is not None and status.held_term
         }
         if held:
-            self.log("replicas found paused", held=held)
-            self.paused_by_us.update(held)
-            await self.resume_all()
+            await self.found_paused(held)
             return False
         return bool(known)
 
+    async def found_paused(self, held):
+        """Replicas are paused: by a takeover that goes on, or by a forgotten order.
+
+        What goes wrong without the wait: a rival has paused them and its promotion
+        is under way; resumed, they let the old primary acknowledge commits that the
+        new one will not have.
+        """
+        age = self.board.age(self.group.name)
+        self.log("replicas found paused", held=held, lease_age=round(age, 2))
+        if age < self.around.tuning.settled_after:
+            self.rest_until = self.around.clock() + ROUND_PAUSE
+            return
+        self.paused_by_us.update(held)
+        self.lease = None
+        await self.resume_all()
+
     async def take_lease(self, reason):
         """Get a fresh token for this attempt; tell whether we have it."""
-        seen = await self.leases.read(self.group.name)
-        lease = await self.leases.take(self.group.name, self.daemon, seen)
+        name, tuning = self.group.name, self.around.tuning
+        seen = await self.leases.read(name)
+        self.board.note(name, seen)
+        foreign = seen.holder not in ("", self.daemon)
+        if foreign and self.board.age(name) < tuning.lease_rest:
+            self.log("left to its holder", reason=reason, holder=seen.holder)
+            self.rest_until = self.around.clock() + tuning.lease_look
+            return False
+        lease = await self.leases.take(name, self.daemon, seen)
         if lease is None:
             self.log("lease taken by another", reason=reason)
-            self.rest_until = self.around.clock() + self.around.tuning.lease_rest
+            self.rest_until = self.around.clock() + tuning.lease_look
             return False
         self.lease = lease
+        self.board.note(name, lease)
         self.log("lease taken", reason=reason, token=lease.token, after=seen.holder)
         return True
 
@@ -244,6 +286,7 @@
         if outcome is not PromoteOutcome.REFUSED and await self.wait_led_by(best):
             self.promotions += 1
             self.paused_by_us.clear()
+            self.rest_until = self.around.clock() + self.around.tuning.lease_look
             return True
         # The token is spent: the order may still be carried out, or was refused.
         return not await self.take_lease("again")
@@ -283,13 +326,12 @@
             return None
         statuses = await asyncio.gather(*(self.status_of(item) for item in others))
         if any(status is None for status in statuses):
-            self.log(
-                "waiting for members",
-                silent=[
+            self.note_missing(
+                [
                     item.id
                     for item, status in zip(others, statuses, strict=True)
                     if status is None
-                ],
+                ]
             )
             return None
         if any(status.leads for status in statuses):
@@ -319,6 +361,12 @@
             for item, status in zip(others, paused, strict=True)
         ]
 
+    def note_missing(self, silent):
+        """Say whom an attempt waits for, when that changes."""
+        if silent != self.missing:
+            self.log("waiting for members", silent=silent)
+        self.missing = silent
+
     async def status_of(self, item):
         """A member's status, or None."""
         return await self.command(item, STATUS)
@@ -352,15 +400,24 @@
     async def resume_all(self):
         """Let paused replicas go on: the primary is back and was not replaced.
 
-        Only while the lease is still ours, proved by taking it again: a rival that
-        took it since relies on the pause.
+        Only while nobody took the lease after us: a rival relies on the pause. And
+        only after the primary was confirmed under a new token: an order of ours that
+        got no answer may be carried out seconds later, and must be refused then.
         """
-        try:
-            if not await self.take_lease("resume replication"):
-                self.paused_by_us.clear()
-                return
-        except LeaseError as exc:
-            self.log("cannot resume yet", error=str(exc))
+        ours = self.lease.token if self.lease else self.board.token(self.group.name)
+        if self.board.token(self.group.name) > ours:
+            self.log("left paused for the daemon that took over")
+            self.paused_by_us.clear()
+            return
+        leader = self.group.watch.leader
+        if not leader or not await self.take_lease(Reason.RESUME):
+            return
+        outcome = await self.promoter.promote(
+            self.group.name, leader, self.daemon, self.lease.token
+        )
+        self.log("primary confirmed", upstream=leader, outcome=str(outcome))
+        if outcome is not PromoteOutcome.ACCEPTED:
+            self.rest_until = self.around.clock() + self.around.tuning.lease_look
             return
         for upstream in list(self.paused_by_us):
             item = self.group.upstreams.get(upstream)
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -44,6 +44,8 @@
     rank_delay: float = 0.8
     # Nobody takes a lease over that changed hands more recently.
     lease_rest: float = 3.0
+    # How soon a daemon looks again that found a lease taken.
+    lease_look: float = 0.5
     # A promotion that was ordered shows within the platform's time plus a margin.
     promotion_wait: float = 3.0
     # Commands to upstreams: one round trip and a slot.
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -38,7 +38,8 @@
 class FakeMember:
     """One upstream: its log, its faults.
 
-    `dark`: answers nothing. `dead`: refuses connections. `paused` (a term): receives
+    `dark`: answers nothing. `dead`: refuses connections. `replaced`:
+    another upstream is at its address. `paused` (a term): receives
     no log. `deaf`: receives none for another reason. `lag`: seconds until what was
     received is applied. `work`: seconds of a statement. `lose_answers`: how many of
     the next answers to work are lost.
@@ -50,6 +51,7 @@
     applied: int = 0
     dark: bool = False
     dead: bool = False
+    replaced: bool = False
     paused: int = 0
     deaf: bool = False
     cut_from: set[str] = field(default_factory=set)
@@ -433,6 +435,11 @@
         """Open a connection."""
         self.dials += 1
         target_member = self.group[member.id]
+        if target_member.replaced:
+            await asyncio.sleep(0.005)
+            raise UpstreamRefused(
+                "another", step="dial", peer=member.id, refusal=Refusal.WRONG_UPSTREAM
+            )
         if target_member.dead:
             raise UpstreamLost("refused", step="dial", peer=member.id)
         if target_member.dark or member.id in self.cut:
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -19,6 +19,13 @@
         self.down = False
         self.lose = 0
         self.calls = 0
+        self.boards = []
+
+    def tell(self):
+        """All watches show the lease a moment later."""
+        loop, lease = asyncio.get_running_loop(), self.lease
+        for board in self.boards:
+            loop.call_later(0.003, board.note, "db", lease)
 
     async def read(self, group):
         """The lease."""
@@ -39,6 +46,7 @@
         self.lease = PromotionLease(
             holder=holder, token=seen.token + 1, revision=seen.revision + 1
         )
+        self.tell()
         if self.lose:
             self.lose -= 1
             raise LeaseError("no answer", step="take", peer=group)
@@ -121,6 +129,7 @@
             observe=lambda *args: None,
         )
         proxy.daemons.names = set(names)
+        self.leases.boards.append(proxy.board)
         proxy.offer_catalog(catalog(version), "test")
         proxy.take_members(self.group.listing())
         return proxy
--- a/tests/sessions/test_confirm.py
+++ b/tests/sessions/test_confirm.py
@@ -63,7 +63,7 @@
 def test_commits_are_passed_on_while_replicas_are_merely_out_of_our_reach():
     async def main():
         rig = await settled_rig()
-        rig.proxy.around.dialer.cut.update({"u2", "u3"})
+        rig.proxy.around.dialer.dialer.cut.update({"u2", "u3"})
         caller = rig.caller("own")
         for number in range(3):
             assert (await caller.send(f"WRITE a {number}")).ok
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -152,7 +152,7 @@
             for proxy in rig.proxies[1:]
         ]
         await asyncio.sleep(0.5)
-        cut.around.dialer.cut.add("u1")
+        cut.around.dialer.dialer.cut.add("u1")
         cut.groups["db"].watch.conn.silent = True
         await asyncio.gather(*writers)
         check_nothing_lost(rig, told)
@@ -309,3 +309,95 @@
         assert all(member.paused == 0 for member in rig.group.members)
 
     run(main())
+
+
+def test_replicas_that_a_rival_has_paused_are_not_resumed():
+    """Symptom: acknowledged commits are missing after a promotion.
+
+    Sequence: a primary is cut from its replicas; one daemon pauses them and orders a
+    promotion; another, which still hears the primary, sees writes stand still, finds
+    the replicas paused and resumes them; the cut heals, commits are acknowledged, the
+    promotion takes effect. Cause: the pause was taken for a forgotten one.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        writers = [
+            asyncio.create_task(write_for(rig, proxy, 8.0, told))
+            for proxy in rig.proxies
+        ]
+        await asyncio.sleep(1.0)
+        rig.group["u1"].cut_from.update({"u2", "u3"})
+        rig.promoter.late = [2.0]
+        await asyncio.sleep(1.6)
+        rig.group["u1"].cut_from.clear()
+        await asyncio.gather(*writers)
+        assert all(lost == [] for _, lost in rig.group.promotions)
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_a_lease_that_just_changed_hands_is_left_to_its_holder():
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        first, second = (proxy.takeovers["db"] for proxy in rig.proxies)
+        assert await first.take_lease("test")
+        await asyncio.sleep(0.1)
+        assert not await second.take_lease("test")
+        await asyncio.sleep(4.0)
+        assert await second.take_lease("test")
+        await asyncio.sleep(0.01)
+        assert first.superseded()
+
+    run(main())
+
+
+def test_a_late_order_is_refused_once_the_primary_was_confirmed():
+    """Symptom: a healthy primary is deposed and commits are lost.
+
+    Sequence: a promotion is ordered and not answered, the primary comes back, the
+    replicas are resumed, the order is carried out five seconds later. Cause: nothing
+    had raised the fence above the order's token.
+    """
+
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        rig.promoter.late = [6.0]
+        told = []
+        writer = asyncio.create_task(write_for(rig, rig.proxy, 12.0, told))
+        await asyncio.sleep(0.5)
+        rig.group["u1"].dark = True
+        await asyncio.sleep(1.5)
+        rig.group["u1"].dark = False
+        await writer
+        check_nothing_lost(rig, told)
+        assert all(lost == [] for _, lost in rig.group.promotions)
+        assert told[-1][1] is None
+
+    run(main())
+
+
+def test_a_member_whose_address_another_has_taken_is_not_waited_for():
+    """Symptom: a dead primary is replaced only seconds after it could be.
+
+    Sequence: a replica crashes and another starts at its address, the primary dies,
+    the list still names the old replica. Cause: the takeover waits for it.
+    """
+
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        rig.group["u3"].replaced = True
+        for conn in list(rig.group["u3"].conns):
+            conn.close()
+        rig.group["u1"].dark = True
+        await asyncio.sleep(4.0)
+        assert rig.group.leader is rig.group["u2"]
+        assert rig.proxy.groups["db"].member("u3") is None
+
+    run(main())
