--- a/packages/sessions/gypsum_sessions/confirm.py
+++ b/packages/sessions/gypsum_sessions/confirm.py
@@ -50,7 +50,11 @@
 
 
 async def find_evidence(group, position, leader):
-    """Ask the replicas that were listed for a while, until one has the position."""
+    """Ask the replicas that were listed for a while, until one has the position.
+
+    Asking whether a position is applied costs an upstream nothing, asking what it has
+    received takes a slot: so the second is asked only of those that lag.
+    """
     tuning, clock = group.around.tuning, group.around.clock
     listed_before = clock() - tuning.settled_after
     replicas = [
@@ -59,20 +63,23 @@
         if item.id != leader and item.member.listed_since <= listed_before
     ]
     until = clock() + tuning.confirm_for
-    while replicas:
-        found = await ask_all(group, replicas, position)
-        if Evidence.HELD in found:
+    while replicas and clock() < until:
+        if Evidence.HELD in await ask_all(group, replicas, position, ask_applied):
             return Evidence.HELD
-        if clock() >= until:
-            unknown = Evidence.UNKNOWN in found
-            return Evidence.UNKNOWN if unknown else Evidence.LACKING
         await asyncio.sleep(tuning.confirm_pause)
-    return Evidence.UNKNOWN
+    found = await ask_all(group, replicas, position, ask_received)
+    if Evidence.HELD in found:
+        return Evidence.HELD
+    unknown = not found or Evidence.UNKNOWN in found
+    return Evidence.UNKNOWN if unknown else Evidence.LACKING
 
 
-async def ask_all(group, replicas, position):
+async def ask_all(group, replicas, position, question):
     """What each replica says; stops at the first that has the position."""
-    asking = {asyncio.create_task(ask_one(group, item, position)) for item in replicas}
+    asking = {
+        asyncio.create_task(ask_one(group, item, position, question))
+        for item in replicas
+    }
     found = []
     while asking:
         done, asking = await asyncio.wait(asking, return_when=asyncio.FIRST_COMPLETED)
@@ -83,27 +90,27 @@
     return found
 
 
-async def ask_one(group, item, position):
+async def ask_one(group, item, position, question):
     """What one replica says of a position."""
-    tuning = group.around.tuning
     try:
         async with borrowed(group.around, item) as conn:
-            begun = await conn.ask(
-                BEGIN_READING, timeout=tuning.ping_timeout, after=position
-            )
-            if begun.ok:
-                await conn.ask(ROLLBACK, timeout=tuning.ping_timeout)
-                return Evidence.HELD
-            if begun.refusal is not Refusal.LAGGING:
-                return Evidence.UNKNOWN
-            return await ask_received(conn, position, tuning)
+            return await question(conn, position, group.around.tuning)
     except UpstreamError as exc:
         group.around.log(PART, "replica not asked", upstream=item.id, error=str(exc))
         return Evidence.UNKNOWN
 
 
+async def ask_applied(conn, position, tuning):
+    """Whether a replica has applied a position."""
+    begun = await conn.ask(BEGIN_READING, timeout=tuning.ping_timeout, after=position)
+    if begun.ok:
+        await conn.ask(ROLLBACK, timeout=tuning.ping_timeout)
+        return Evidence.HELD
+    return Evidence.LACKING if begun.refusal is Refusal.LAGGING else Evidence.UNKNOWN
+
+
 async def ask_received(conn, position, tuning):
-    """Whether a replica has received what it has not applied yet."""
+    """Whether a replica has received what it may not have applied yet."""
     reply = await conn.ask(STATUS, timeout=tuning.ping_timeout)
     if not reply.ok:
         return Evidence.UNKNOWN
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -31,8 +31,9 @@
     # A replica counts as known to every takeover this long after it was listed: the
     # longest time from the start of one to its promotion.
     settled_after: float = 4.0
-    # A commit reaches the second replica within this; its usual lag, ten times.
-    confirm_for: float = 0.1
+    # A commit is applied by a replica within this: its usual lag, six times. After it
+    # the replicas are asked what they have received, which takes a slot.
+    confirm_for: float = 0.05
     confirm_pause: float = 0.01
     # A dial that failed is not repeated for this long, doubling: each costs the
     # upstream a slot, and callers' retries would dial without end.
