--- a/packages/cli/gypsum_cli/main.py
+++ b/packages/cli/gypsum_cli/main.py
@@ -13,6 +13,7 @@
 from gypsum_cli.drain import Drain, drain
 from gypsum_cli.exits import ExitCode
 from gypsum_cli.explain import Explain, explain
+from gypsum_cli.explain_request import ExplainRequest, explain_request
 from gypsum_cli.output import fail
 from gypsum_cli.service import DaemonError
 from gypsum_cli.status import Status, status
@@ -25,6 +26,7 @@
     Apply: apply,
     Status: status,
     Explain: explain,
+    ExplainRequest: explain_request,
     Drain: drain,
 }
 
@@ -34,7 +36,9 @@
 class Gypsumhitch:
     """The command."""
 
-    subcommand: cappa.Subcommands[Check | Diff | Apply | Status | Explain | Drain]
+    subcommand: cappa.Subcommands[
+        Check | Diff | Apply | Status | Explain | ExplainRequest | Drain
+    ]
 
 
 def run(command):
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -194,28 +194,24 @@
         await session.end_transaction()
 
     def answered(self, session, request, statement, job, reply, arrived):
-        """Log and measure one answered statement."""
+        """Log and measure one answered statement; `job` is None if it ran here."""
         seconds = self.clock() - arrived
-        self.observe(session.route, statement, reply, seconds)
+        route = job.route if job is not None else session.route
+        self.observe(route, statement, reply, seconds)
         if job is None and reply.ok:
             return
-        fields = {"statement": str(statement.kind), "ms": round(seconds * 1000, 1)}
-        if hasattr(job, "tried"):
-            fields["upstreams"] = job.tried
-            if job.floor is not None:
-                fields["floor"] = f"{job.floor.term}.{job.floor.index}"
-                fields["floor_age_ms"] = round(job.floor_age * 1000)
-        if not reply.ok:
-            fields["refusal"] = str(reply.refusal)
-            fields["detail"] = reply.detail
         self.log(
             "request",
             "answered" if reply.ok else "refused",
             request=request,
             session=session.number,
             database=session.database,
+            group=route.group,
             version=self.catalog.version,
-            **fields,
+            statement=str(statement.kind),
+            ms=round(seconds * 1000, 1),
+            **job_fields(job),
+            **refusal_fields(reply),
         )
 
     # Tasks
@@ -279,3 +275,25 @@
             task.cancel()
         for group in self.groups.values():
             group.close()
+
+
+def job_fields(job):
+    """What decided where a statement ran."""
+    if job is None:
+        return {}
+    fields = {"upstreams": job.tried}
+    if job.floor is not None:
+        fields["floor"] = f"{job.floor.term}.{job.floor.index}"
+        fields["floor_age_ms"] = round(job.floor_age * 1000)
+    return fields
+
+
+def refusal_fields(reply):
+    """Why a statement has no result."""
+    if reply.ok:
+        return {}
+    return {
+        "refusal": str(reply.refusal),
+        "detail": reply.detail,
+        "retry_after_ms": reply.retry_after_ms,
+    }
--- a/packages/sessions/gypsum_sessions/session.py
+++ b/packages/sessions/gypsum_sessions/session.py
@@ -60,10 +60,9 @@
             if self.state is SessionState.FAILED:
                 reply = await self.run_failed(statement)
             elif statement.kind in RUN_AT_UPSTREAM:
-                job = self.make_job(request, statement, arrived)
-                reply = job if isinstance(job, Reply) else await self.run_job(job)
+                job, reply = await self.run_there(request, statement, arrived)
             elif statement.kind is StatementKind.COMMIT:
-                reply = await self.commit(request, statement, arrived)
+                job, reply = await self.commit(request, statement, arrived)
             else:
                 reply = await self.run_here(statement, arrived)
         finally:
@@ -128,16 +127,22 @@
 
     # Statements that upstreams run
 
-    def make_job(self, request, statement, arrived):
-        """The job of a statement, or the refusal of one that cannot run."""
+    async def run_there(self, request, statement, arrived):
+        """Run a statement at an upstream: (job, reply), the job None without one."""
         route = self.tx.route if self.tx else self.current_route()
         if route is None:
-            return self.refuse(Refusal.UNKNOWN_DATABASE, self.database)
+            return None, self.refuse(Refusal.UNKNOWN_DATABASE, self.database)
+        executes = statement.kind is StatementKind.EXECUTE
+        if executes and statement.name not in self.prepared:
+            return None, self.refuse(Refusal.UNKNOWN_NAME, statement.name)
+        job = self.make_job(request, statement, arrived, route)
+        return job, await self.run_job(job)
+
+    def make_job(self, request, statement, arrived, route):
+        """The job of a statement under a route."""
         needed = ()
         if statement.kind is StatementKind.EXECUTE:
-            known = self.prepared.get(statement.name)
-            if known is None:
-                return self.refuse(Refusal.UNKNOWN_NAME, statement.name)
+            known = self.prepared[statement.name]
             needed = ((known.shape, known.writes),)
             statement = Statement(
                 kind=statement.kind,
@@ -180,17 +185,17 @@
     async def commit(self, request, statement, arrived):
         """COMMIT: kept, not kept, or in doubt; the transaction is over either way."""
         if self.tx is None:
-            return self.refuse(Refusal.MALFORMED, "no transaction is open")
-        job = self.make_job(request, statement, arrived)
+            return None, self.refuse(Refusal.MALFORMED, "no transaction is open")
+        job = self.make_job(request, statement, arrived, self.tx.route)
         group = self.proxy.groups.get(job.route.group)
         tx, self.tx = self.tx, None
         self.state = SessionState.IDLE
         if group is None:
-            return self.refuse(Refusal.ABORTED, "the group is not known")
+            return job, self.refuse(Refusal.ABORTED, "the group is not known")
         reply = await transactions.commit(group, tx, job)
         if reply.ok and tx.wrote:
             self.own_floor = later(self.own_floor, reply.position)
-        return self.outside(reply)
+        return job, self.outside(reply)
 
     # Ends
 
--- /dev/null
+++ b/tests/test_explain_request.py
@@ -0,0 +1,68 @@
+"""`gypsumhitch explain-request` over log lines."""
+
+import json
+
+from gypsum_cli.explain_request import ExplainRequest, explain_request, tell
+
+BASE = "2026-05-01T10:00:0"
+
+
+def line(second, part, event, **fields):
+    """One log line."""
+    fields = {"daemon": "d1", "part": part, "event": event, **fields}
+    return json.dumps({"time": f"{BASE}{second}.000+00:00", **fields})
+
+
+LINES = [
+    line(0, "leader", "found", group="g", upstream="u1"),
+    line(1, "leader", "lost", group="other", upstream="x"),
+    line(2, "leader", "lost", group="g", upstream="u1"),
+    line(3, "write", "not sent", request="r1", error="acquire: u1"),
+    line(3, "request", "answered", request="r2", group="g", ms=4.0, upstreams=["u2"]),
+    line(
+        4,
+        "request",
+        "refused",
+        request="r1",
+        group="g",
+        refusal="busy",
+        detail="not run, the group has no proven primary",
+        upstreams=["u1"],
+    ),
+    line(5, "takeover", "promoting", group="g", upstream="u2"),
+]
+
+
+def run(tmp_path, request, capsys, text=None):
+    """Run the subcommand over a file; (exit code, output)."""
+    path = tmp_path / "log"
+    path.write_text("\n".join(text or LINES))
+    code = explain_request(ExplainRequest(request=request, logs=[path]))
+    return code, capsys.readouterr()
+
+
+def test_a_refused_write_is_told_with_its_cause(tmp_path, capsys):
+    code, out = run(tmp_path, "r1", capsys)
+    assert code == 0
+    assert "has not run: not run, the group has no proven primary" in out.out
+    assert "leader: lost group=g" in out.out
+    assert "takeover: promoting" in out.out
+    assert "group=other" not in out.out
+
+
+def test_lines_with_a_prefix_and_noise_are_read(tmp_path, capsys):
+    text = ["noise", "{broken", *(f"  1.5 d1 {item}" for item in LINES)]
+    code, out = run(tmp_path, "r2", capsys, text)
+    assert code == 0
+    assert "answered in 4.0 ms" in out.out
+
+
+def test_an_unknown_request_is_an_error(tmp_path, capsys):
+    code, out = run(tmp_path, "nobody", capsys)
+    assert code == 1
+    assert "no line about request nobody" in out.err
+
+
+def test_an_answer_after_several_tries_names_them():
+    story = tell("r", [])
+    assert story.way == []
