--- a/packages/sessions/gypsum_sessions/confirm.py
+++ b/packages/sessions/gypsum_sessions/confirm.py
@@ -4,7 +4,8 @@
 replicas that the list names. A replica that joins in between is named by nobody yet:
 a primary that is being replaced acknowledges through it what the new one will not
 have. So a commit is passed on as done once a replica that was listed for a while has
-it. When none of those can be asked, it is passed on unless writes stood still before.
+it. When none of those can be asked, it is passed on unless writes stood still before
+or a takeover has begun.
 """
 
 import asyncio
@@ -34,9 +35,8 @@
     evidence = Evidence.UNKNOWN
     if position is not None:
         evidence = await find_evidence(group, position, leader)
-    safe = evidence is Evidence.HELD or (
-        evidence is Evidence.UNKNOWN and stalled < tuning.stall_trust
-    )
+    trusted = stalled < tuning.stall_trust and not group.takeover_under_way()
+    safe = evidence is Evidence.HELD or (evidence is Evidence.UNKNOWN and trusted)
     if not safe:
         group.around.log(
             PART,
@@ -45,6 +45,7 @@
             position=f"{position.term}.{position.index}" if position else "",
             evidence=str(evidence),
             stalled_ms=round(stalled * 1000),
+            takeover=group.takeover_under_way(),
         )
     return safe
 
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -5,6 +5,7 @@
 from gypsum_sessions.borders import Clock, Dialer, EventLog
 from gypsum_sessions.floors import Floors
 from gypsum_sessions.leader import LeaderWatch
+from gypsum_sessions.leaseboard import LeaseBoard
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.router import Candidate
 from gypsum_sessions.stall import WriteStall
@@ -26,6 +27,7 @@
     log: EventLog
     domain: str
     daemons: "Daemons"
+    board: LeaseBoard
 
 
 class Daemons:
@@ -68,10 +70,6 @@
         found = self.upstreams.get(upstream)
         return found.member if found else None
 
-    def upstream(self, upstream):
-        """One upstream by id; KeyError if it is not known any more."""
-        return self.upstreams[upstream]
-
     def take_members(self, members):
         """Take in the group's members as the roster has them now."""
         listed = {member.id: member for member in members}
@@ -130,6 +128,13 @@
             full=item.pool.in_use >= item.pool.limit,
         )
 
+    def takeover_under_way(self):
+        """Tell whether a takeover began a moment ago and has not shown a result."""
+        age = self.around.board.age(self.name)
+        began = self.around.clock() - age
+        recent = age < self.around.tuning.settled_after
+        return recent and self.watch.leading_since <= began
+
     def keep_tasks(self, tasks):
         """Hold on to tasks that finish on their own."""
         for task in tasks:
--- a/packages/sessions/gypsum_sessions/leader.py
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -59,6 +59,7 @@
         self.wanted = asyncio.Event()
         self.proofs = []
         self.last_leader = ""
+        self.leading_since = float("-inf")
 
     # For the rest of the daemon
 
@@ -234,6 +235,7 @@
         """An upstream has proven that it led after `asked_at`."""
         if upstream != self.leader:
             if upstream != self.last_leader:
+                self.leading_since = self.clock()
                 self.floors.forget()
                 self.group.stall.forget()
             self.log(
@@ -288,7 +290,9 @@
 
     async def ask_member(self, member):
         """Ask one member on a pooled connection: (id, position, time asked) or None."""
-        upstream = self.group.upstream(member.id)
+        upstream = self.group.upstreams.get(member.id)
+        if upstream is None:
+            return None
         try:
             pooled = await upstream.pool.acquire(
                 values={}, timeout=self.tuning.ping_timeout
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -57,12 +57,12 @@
         self.log = log
         self.observe = observe
         self.leases = leases
-        self.board = LeaseBoard(clock=clock)
         self.promoter = promoter
         self.member_list = member_list
         self.catalog = Catalog()
         self.daemons = Daemons(names=[name])
         self.roster = Roster(clock=clock, missing_grace=tuning.missing_grace)
+        self.board = LeaseBoard(clock=clock)
         self.around = Surroundings(
             clock=clock,
             dialer=CheckingDialer(dialer=dialer, replaced=self.member_replaced),
@@ -70,6 +70,7 @@
             log=log,
             domain=domain,
             daemons=self.daemons,
+            board=self.board,
         )
         self.groups = {}
         self.takeovers = {}
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -74,7 +74,9 @@
     running, last = set(), None
     while order or running:
         if order:
-            running.add(start_attempt(group, job, order.pop(0)))
+            running |= start_attempt(group, job, order.pop(0))
+        if not running:
+            continue
         wait = hedge_delay(group, job) if order else job.left(group.around.clock)
         done, running = await asyncio.wait(
             running, timeout=wait, return_when=asyncio.FIRST_COMPLETED
@@ -91,9 +93,12 @@
 
 
 def start_attempt(group, job, upstream):
-    """Ask one upstream in a task of its own."""
+    """Ask one upstream in a task of its own; no task if it is gone meanwhile."""
+    item = group.upstreams.get(upstream)
+    if item is None:
+        return set()
     job.tried.append(upstream)
-    return asyncio.create_task(attempt_read(group, job, group.upstreams[upstream]))
+    return {asyncio.create_task(attempt_read(group, job, item))}
 
 
 def upstream_order(group, job):
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -283,7 +283,9 @@
         self.log("promotion ordered", upstream=best, outcome=str(outcome))
         if outcome is PromoteOutcome.NOT_DONE:
             return False
-        if outcome is not PromoteOutcome.REFUSED and await self.wait_led_by(best):
+        if outcome is not PromoteOutcome.REFUSED and await self.wait_led_by(
+            best, self.patience(outcome)
+        ):
             self.promotions += 1
             self.paused_by_us.clear()
             self.rest_until = self.around.clock() + self.around.tuning.lease_look
@@ -291,9 +293,20 @@
         # The token is spent: the order may still be carried out, or was refused.
         return not await self.take_lease("again")
 
-    async def wait_led_by(self, upstream):
+    def patience(self, outcome):
+        """How long an ordered promotion is waited for.
+
+        One without an answer is ordered again soon, under a new token: carried out
+        seconds later, the first would meet logs that have grown past it.
+        """
+        tuning = self.around.tuning
+        if outcome is PromoteOutcome.UNANSWERED:
+            return tuning.unanswered_wait
+        return tuning.promotion_wait
+
+    async def wait_led_by(self, upstream, patience):
         """Wait until a member leads; tell whether it does."""
-        deadline = self.around.clock() + self.around.tuning.promotion_wait
+        deadline = self.around.clock() + patience
         while self.around.clock() < deadline:
             item = self.group.upstreams.get(upstream)
             if item is None:
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -49,6 +49,8 @@
     lease_look: float = 0.5
     # A promotion that was ordered shows within the platform's time plus a margin.
     promotion_wait: float = 3.0
+    # One without an answer is looked for this much longer than the call itself took.
+    unanswered_wait: float = 0.2
     # Commands to upstreams: one round trip and a slot.
     command_timeout: float = 0.5
     # A read that takes this many times its usual time is asked elsewhere too.
--- /dev/null
+++ b/tests/sessions/breaks.py
@@ -0,0 +1,121 @@
+"""Deliberate breaks of the product: each takes one protection away.
+
+The random runs have to notice them; a check that finds no planted break proves
+nothing.
+"""
+
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from gypsum_sessions import (
+    pooled,
+    reads,
+    session,
+    takeover,
+    transactions,
+    writes,
+)
+from gypsum_sessions.floors import Floors
+from gypsum_sessions.replies import Refusal, Reply
+from gypsum_sessions.takeover import Paused, Takeover
+
+
+async def pass_on_every_commit(group, position, leader, *, stalled):
+    """Commits are passed on unconfirmed."""
+    return True
+
+
+def oldest_floor(self, not_before):
+    """Floors of any age will do."""
+    return self.known[0] if self.known else None
+
+
+async def pause_nobody(self, old, *, step_down):
+    """Promote by statuses alone, with replication running, whoever answers."""
+    others = [item for item in self.group.upstreams.values() if item.id != old]
+    found = [(item, await self.status_of(item)) for item in others]
+    known = [
+        Paused(upstream=item.id, leaving=False, status=status)
+        for item, status in found
+        if status is not None
+    ]
+    return known or None
+
+
+def never_reset(pooled_conn, values, prepared, prepared_limit):
+    """Connections keep the values of their last session."""
+    return False
+
+
+def told_as_not_run(group, job, item, exc):
+    """A write without an answer is told as not run."""
+    return Reply(refusal=Refusal.BUSY, detail="broken on purpose")
+
+
+def sent_again(group, job, item, exc):
+    """A write without an answer is sent again."""
+    raise writes.NotSent("broken on purpose")
+
+
+def own_commits_forgotten(first, second):
+    """A session's own commits do not count."""
+    return first
+
+
+async def aborted_though_sent(group, tx, job):
+    """A COMMIT without an answer is told as rolled back."""
+    reply = await KEPT_COMMIT(group, tx, job)
+    if reply.refusal is Refusal.IN_DOUBT:
+        return transactions.aborted("broken on purpose")
+    return reply
+
+
+async def resume_at_once(self):
+    """Paused replicas are resumed without asking anyone."""
+    for upstream in list(self.paused_by_us):
+        item = self.group.upstreams.get(upstream)
+        if item is not None:
+            await self.command(item, takeover.RESUME_REPLICATION)
+        del self.paused_by_us[upstream]
+
+
+async def resume_what_is_found(self, held):
+    """Replicas that are found paused are resumed whoever paused them."""
+    self.paused_by_us.update(held)
+    await resume_at_once(self)
+
+
+KEPT_COMMIT = transactions.commit
+
+BREAKS = {
+    "every commit is passed on": [
+        (writes, "is_safe", pass_on_every_commit),
+        (transactions, "is_safe", pass_on_every_commit),
+    ],
+    "floors of any age": [(Floors, "since", oldest_floor)],
+    "nobody is paused": [(Takeover, "pause_all", pause_nobody)],
+    "connections are not reset": [(pooled, "needs_reset", never_reset)],
+    "lost writes are told as not run": [(writes, "lost_write", told_as_not_run)],
+    "lost writes are sent again": [(writes, "lost_write", sent_again)],
+    "own commits are forgotten": [(reads, "later", own_commits_forgotten)],
+    "lost commits are told as rolled back": [
+        (session.transactions, "commit", aborted_though_sent)
+    ],
+    "paused replicas are resumed whoever paused them": [
+        (Takeover, "found_paused", resume_what_is_found),
+        (Takeover, "resume_all", resume_at_once),
+    ],
+}
+
+
+@contextmanager
+def broken(name):
+    """Apply one break."""
+    patches = [patch.object(*change) for change in BREAKS[name]]
+    for item in patches:
+        item.start()
+    try:
+        yield
+    finally:
+        for item in patches:
+            item.stop()
--- /dev/null
+++ b/tests/sessions/chaos.py
@@ -0,0 +1,397 @@
+"""Random callers and random faults over one group, checked from the callers' side.
+
+Every promise is checked on what callers were told and what the fake upstreams ran.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from gypsum_sessions.catalog import ReadRule
+from gypsum_sessions.replies import Refusal, SessionState
+from tests.sessions.fakegroup import FakeMember
+from tests.sessions.rig import FakeCaller, Rig
+from tests.sessions.vclock import run
+
+RUN_SECONDS = 14.0
+CALM_SECONDS = 14.0
+PROMISES = {Refusal.BUSY, Refusal.ABORTED, Refusal.LAGGING, Refusal.READ_ONLY}
+
+
+@dataclass(slots=True, kw_only=True)
+class Acked:
+    """Writes that a caller was told are kept."""
+
+    data: tuple[str, ...]
+    at: float
+    session: int
+
+
+@dataclass(slots=True, kw_only=True)
+class Watch:
+    """What callers were told; finds broken promises."""
+
+    rig: Rig
+    acked: list[Acked] = field(default_factory=list)
+    promised: list[str] = field(default_factory=list)
+    expected_values: dict[int, dict[str, str]] = field(default_factory=dict)
+    read_bounds: dict[str, tuple[float, int, ReadRule]] = field(default_factory=dict)
+    transactions: dict[str, int] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+
+    def statement_ran(self, conn, request):
+        """An upstream ran a caller's statement: is it where it belongs?"""
+        session = int(request.split("-")[0])
+        if conn.values != self.expected_values.get(session, {}):
+            self.broken.append(f"PINNED {request}: values {conn.values}")
+        owner = conn.owner
+        in_transaction = conn.state is SessionState.IN_TRANSACTION
+        if in_transaction and owner not in (None, session):
+            self.broken.append(f"PINNED {request}: in the transaction of {owner}")
+        if in_transaction != (request in self.transactions):
+            self.broken.append(f"PINNED {request}: in a transaction {in_transaction}")
+        conn.owner = session if in_transaction else None
+
+    def read_ran(self, member, request):
+        """An upstream ran a read: does its log hold what it has to?"""
+        sent, session, rule = self.read_bounds[request]
+        max_age = {ReadRule.PRIMARY: 0.0, ReadRule.BOUNDED: 1.5}.get(rule, 2.5)
+        log = member.log[: member.applied]
+        shown = {data for entry in log for _, data in entry.writes}
+        for item in self.acked:
+            own = rule is ReadRule.READ_YOUR_WRITES and item.session == session
+            bound = sent if own else sent - max_age
+            if item.at < bound and not shown.issuperset(item.data):
+                self.broken.append(f"STALE {request} at {member.id}: lacks {item.data}")
+
+    def finish(self):
+        """Check what is only known at the end."""
+        kept = [data for entry in self.rig.group.leader.log for _, data in entry.writes]
+        if len(kept) != len(set(kept)):
+            self.broken.append("TWICE")
+        for item in self.acked:
+            if not set(item.data) <= set(kept):
+                self.broken.append(f"LOST {item.data}")
+        for data in self.promised:
+            if data in kept:
+                self.broken.append(f"REFUSED {data}")
+        tokens = [(token, holder) for _, holder, token in self.rig.promoter.orders]
+        if len({token for token, _ in tokens}) != len(set(tokens)):
+            self.broken.append("ONE: two holders with one token")
+
+
+async def live(rig, watch, rng, proxy, until):
+    """One caller: statements and transactions until a time."""
+    loop = rig.loop
+    while loop.time() < until:
+        database = rng.choice(["primary", "bounded", "own"])
+        caller = rig.caller(database, proxy)
+        watch.expected_values[caller.number] = {}
+        for _ in range(rng.randint(1, 6)):
+            await operate(rig, watch, rng, caller)
+            await asyncio.sleep(rng.random() * 0.3)
+        await proxy.close_session(caller.session)
+
+
+async def operate(rig, watch, rng, caller):
+    """One operation of a caller."""
+    kind = rng.choices(["read", "write", "tx", "set", "prepared"], [8, 4, 4, 1, 2])[0]
+    if kind == "set":
+        name, value = rng.choice("abc"), str(rng.randint(0, 2))
+        if (await caller.send(f"SET {name} {value}")).ok:
+            watch.expected_values[caller.number][name] = value
+    elif kind == "read":
+        await read(rig, watch, caller, "READ item")
+    elif kind == "prepared":
+        await caller.send("PREPARE s READ q")
+        await read(rig, watch, caller, "EXECUTE s item")
+    elif kind == "write":
+        await write(rig, watch, caller)
+    else:
+        await transaction(rig, watch, rng, caller)
+
+
+async def read(rig, watch, caller, text):
+    """A single read."""
+    bound = (rig.loop.clock(), caller.number, caller.session.route.rule)
+    watch.read_bounds[caller.next_request] = bound
+    await caller.send(text)
+
+
+async def write(rig, watch, caller):
+    """A single write of data that nobody else writes."""
+    data = caller.next_request
+    reply = await caller.send(f"WRITE {data} {data}")
+    if reply.ok:
+        watch.acked.append(
+            Acked(data=(data,), at=rig.loop.clock(), session=caller.number)
+        )
+    elif reply.refusal in PROMISES:
+        watch.promised.append(data)
+
+
+async def transaction(rig, watch, rng, caller):
+    """A transaction of some statements, with pauses."""
+    writing = rng.random() < 0.6
+    began = rig.loop.clock()
+    await caller.send("BEGIN" if writing else "BEGIN READ")
+    wrote, reply = [], None
+    for _ in range(rng.randint(0, 4)):
+        request = caller.next_request
+        watch.transactions[request] = caller.number
+        if writing and rng.random() < 0.6:
+            wrote.append(request)
+            reply = await caller.send(f"WRITE {request} {request}")
+        else:
+            rule = caller.session.route.rule
+            watch.read_bounds[request] = (began, caller.number, rule)
+            reply = await caller.send("READ item")
+        if not reply.ok:
+            break
+        await asyncio.sleep(rng.random() * 0.2)
+    failed = reply is not None and not reply.ok
+    if failed or rng.random() < 0.2:
+        await caller.send("ROLLBACK")
+        watch.promised += wrote
+        return
+    watch.transactions[caller.next_request] = caller.number
+    reply = await caller.send("COMMIT")
+    if reply.ok and wrote:
+        watch.acked.append(
+            Acked(
+                data=tuple(wrote),
+                at=rig.loop.clock(),
+                session=caller.number,
+            )
+        )
+    elif reply.refusal in PROMISES:
+        watch.promised += wrote
+
+
+class Faults:
+    """Random troubles, each mended after a while."""
+
+    def __init__(self, *, rig, rng):
+        self.rig = rig
+        self.rng = rng
+        self.joined = 0
+
+    async def run(self, until):
+        """One trouble after the other, overlapping."""
+        while self.rig.loop.time() < until:
+            trouble = self.rng.choice(
+                [
+                    self.dark,
+                    self.crash,
+                    self.primary_cut,
+                    self.deaf,
+                    self.lagging,
+                    self.daemon_cut,
+                    self.silent,
+                    self.lost_answers,
+                    self.late_orders,
+                    self.store_down,
+                    self.lost_lease,
+                    self.join,
+                    self.cut_and_join,
+                    self.cut_and_crash,
+                    self.late_pause,
+                    self.suspend,
+                ]
+            )
+            asyncio.ensure_future(self.mended(trouble))
+            await asyncio.sleep(self.rng.random() * 2.5)
+
+    async def mended(self, trouble):
+        """A trouble and its end."""
+        mend = trouble()
+        if mend is None:
+            return
+        await asyncio.sleep(0.3 + self.rng.random() * 4)
+        mend()
+
+    def member(self):
+        """Any member."""
+        return self.rng.choice(self.rig.group.members)
+
+    def leader(self):
+        """The leader, or any member if nobody leads."""
+        return self.rig.group.leader or self.member()
+
+    def any_or_leader(self):
+        """The leader half of the time."""
+        return self.leader() if self.rng.random() < 0.5 else self.member()
+
+    def dark(self):
+        """A member answers nothing for a while."""
+        member = self.any_or_leader()
+        member.dark = True
+        return lambda: setattr(member, "dark", False)
+
+    def crash(self):
+        """A member crashes and comes back with its log."""
+        member = self.any_or_leader()
+        if member.dead:
+            return None
+        member.crash()
+        return member.restart
+
+    def primary_cut(self):
+        """The primary loses replicas, and perhaps some daemons."""
+        leader = self.leader()
+        leader.cut_from.update(m.id for m in self.rig.group.members if m is not leader)
+        if self.rng.random() < 0.5:
+            self.cut(self.rng.choice(self.rig.proxies), leader.id)
+
+        def mend():
+            leader.cut_from.clear()
+            self.mend_cuts()
+
+        return mend
+
+    def deaf(self):
+        """A replica receives nothing."""
+        member = self.member()
+        member.deaf = True
+        return lambda: setattr(member, "deaf", False)
+
+    def lagging(self):
+        """A replica applies late."""
+        member = self.member()
+        member.lag = 1.0
+        return lambda: setattr(member, "lag", 0.008)
+
+    def daemon_cut(self):
+        """A daemon loses its path to a member."""
+        self.cut(self.rng.choice(self.rig.proxies), self.member().id)
+        return self.mend_cuts
+
+    def cut(self, proxy, upstream):
+        """Cut one path: open connections go silent, new ones hang."""
+        proxy.around.dialer.dialer.cut.add(upstream)
+        for conn in list(self.rig.group[upstream].conns):
+            if conn.dialer is proxy.around.dialer.dialer:
+                conn.silent = True
+
+    def mend_cuts(self):
+        """All paths are there again; connections that went silent stay so."""
+        for proxy in self.rig.proxies:
+            proxy.around.dialer.dialer.cut.clear()
+
+    def silent(self):
+        """Open connections to a member go silent for good."""
+        for conn in list(self.member().conns):
+            if self.rng.random() < 0.5:
+                conn.silent = True
+
+    def lost_answers(self):
+        """The next answers of a member are lost."""
+        self.any_or_leader().lose_answers = self.rng.randint(1, 3)
+
+    def late_orders(self):
+        """The next order to promote is carried out late and not answered."""
+        self.rig.promoter.late.append(1.0 + self.rng.random() * 6)
+
+    def store_down(self):
+        """The leases can't be read or taken."""
+        self.rig.leases.down = True
+        return lambda: setattr(self.rig.leases, "down", False)
+
+    def lost_lease(self):
+        """The next take of the lease is done and not answered."""
+        self.rig.leases.lose += 1
+
+    def cut_and_join(self):
+        """The primary loses replicas and a daemon; a new member comes just then."""
+        mend = self.primary_cut()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.7 + self.rng.random() * 1.5, self.join)
+        return mend
+
+    def cut_and_crash(self):
+        """The primary dies while one replica is behind and the other out of reach."""
+        behind, away = self.rng.sample(self.rig.group.replicas(), 2)
+        behind.deaf = True
+        loop, leader = asyncio.get_running_loop(), self.leader()
+        loop.call_later(0.5, setattr, away, "dark", True)
+        loop.call_later(0.6, setattr, leader, "dark", True)
+
+        def mend():
+            behind.deaf = away.dark = leader.dark = False
+
+        return mend
+
+    def join(self):
+        """A new member joins, listed a moment later."""
+        if self.joined >= 2:
+            return
+        self.joined += 1
+        group = self.rig.group
+        group.members.append(FakeMember(id=f"u{len(group.members) + 1}", group=group))
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.3, self.relist)
+
+    def relist(self):
+        """All daemons see the list."""
+        for proxy in self.rig.proxies:
+            proxy.take_members(self.rig.group.listing())
+
+    def late_pause(self):
+        """An order to pause of long ago is carried out."""
+        for replica in self.rig.group.replicas():
+            replica.paused = self.rig.group.term + 1
+
+    def suspend(self):
+        """The machine is suspended: the steady clock stands still meanwhile."""
+        self.rig.loop.suspended += self.rng.random() * 3
+
+
+async def play(seed, daemons=3):
+    """One run; returns the broken promises and the rig."""
+    rng = Random(seed)
+    rig = Rig(daemons=daemons)
+    watch = Watch(rig=rig)
+    rig.group.watch = watch
+    for proxy in rig.proxies:
+        proxy.keep_running(proxy.tend)
+    await rig.settle()
+    until = rig.loop.time() + RUN_SECONDS
+    callers = [
+        asyncio.create_task(live(rig, watch, Random(seed * 100 + n), proxy, until))
+        for n, proxy in enumerate(rig.proxies * 2)
+    ]
+    await Faults(rig=rig, rng=rng).run(until)
+    results = await asyncio.gather(*callers, return_exceptions=True)
+    watch.broken += [f"CALLER {item!r}" for item in results if item is not None]
+    heal(rig)
+    await asyncio.sleep(CALM_SECONDS)
+    watch.finish()
+    await check_service(rig, watch)
+    return watch.broken, rig
+
+
+def heal(rig):
+    """End all troubles."""
+    rig.leases.down, rig.leases.lose = False, 0
+    for member in rig.group.members:
+        member.dark = member.deaf = member.dead = False
+        member.lose_answers = 0
+        member.cut_from.clear()
+    for proxy in rig.proxies:
+        proxy.around.dialer.dialer.cut.clear()
+        proxy.take_members(rig.group.listing())
+
+
+async def check_service(rig, watch):
+    """After all is well again, every daemon serves reads and writes."""
+    for proxy in rig.proxies:
+        caller: FakeCaller = rig.caller("own", proxy)
+        watch.expected_values[caller.number] = {}
+        reply = await caller.send("WRITE last last")
+        if not reply.ok:
+            watch.broken.append(f"RECOVER {proxy.name}: {reply.refusal} {reply.detail}")
+
+
+def broken_promises(seed):
+    """Run one seed; the list of what was broken."""
+    return run(play(seed))[0]
