--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -4,16 +4,18 @@
 import json
 
 from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 LIST_SIZE = 500
+MAX_VALUE = 1 << 20
 
 
 class ObjectStore:
     """Objects by kind and name, one rising revision, a history for watches.
 
-    `refuse` is a status that every call gets; `silent` holds every answer back;
-    `lose` is how many writes are done and not answered.
+    `refuse` is a status that every call gets; `silent` holds every answer back, `slow`
+    for some seconds; `lose` is how many writes are done and not answered.
     """
 
     def __init__(self):
@@ -23,6 +25,7 @@
         self.oldest = 0
         self.refuse = 0
         self.silent = False
+        self.slow = 0.0
         self.lose = 0
         self.calls = []
         self.changed = asyncio.Event()
@@ -64,16 +67,16 @@
         self.oldest = self.revision
         self.history.clear()
 
-    def listen(self):
-        """Serve on a port of the system's choice; returns the address."""
-        from tornado.netutil import bind_sockets
-
-        sockets = bind_sockets(0, "127.0.0.1")
+    def listen(self, port=0, more=()):
+        """Serve on a port, of the system's choice if 0; returns the address."""
+        sockets = bind_sockets(port, "127.0.0.1")
+        shared = {"store": self}
         app = Application(
             [
-                (r"/api/objects/([^/]+)", KindHandler, {"store": self}),
-                (r"/api/objects/([^/]+)/([^/]+)", NameHandler, {"store": self}),
-                (r"/failover", PromoteHandler, {"store": self}),
+                (r"/api/objects/([^/]+)", KindHandler, shared),
+                (r"/api/objects/([^/]+)/([^/]+)", NameHandler, shared),
+                (r"/failover", PromoteHandler, shared),
+                *((path, handler, shared) for path, handler in more),
             ],
             log_function=lambda handler: None,
         )
@@ -91,11 +94,16 @@
     async def prepare(self):
         """Apply the faults."""
         self.store.calls.append((self.request.method, self.request.uri))
+        if self.store.slow:
+            await asyncio.sleep(self.store.slow)
         while self.store.silent:
             await asyncio.sleep(0.05)
         if self.store.refuse:
             self.set_status(self.store.refuse)
             self.finish()
+        elif len(self.request.body) > MAX_VALUE:
+            self.set_status(413)
+            self.finish()
 
     def answer(self, body, status=200):
         """Answer with JSON, unless the answer is to be lost."""
