--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
 
-.PHONY: setup test lint format demo bench fuzz matrix capacity clean
+.PHONY: setup test lint format demo demo-platform bench fuzz matrix capacity clean
 
 setup: $(STAMP)
 
@@ -27,6 +27,9 @@
 demo: setup
 	$(PY) demo/run.py
 
+demo-platform: setup
+	$(PY) demo/platform_run.py
+
 bench: setup
 	$(PY) -m bench.run
 
--- /dev/null
+++ b/tests/standins/platformworld.py
@@ -0,0 +1,333 @@
+"""Real daemons of the platform's form over stand-ins: a store, one group, callers."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from contextlib import asynccontextmanager
+from itertools import count
+from pathlib import Path
+
+from gypsum_platform.feeds import CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND
+from tests.sessions.fakegroup import FakeGroup
+from tests.standins.objectstore import ObjectStore
+from tests.standins.wireupstream import listen
+
+ROOT = Path(__file__).resolve().parents[2]
+GROUP = "shop"
+PROMOTE_TIME = 0.3
+UNLISTED_AFTER = 1.0
+START_TRIES = 600
+TRY_PAUSE = 0.05
+ANSWER_LIMIT = 30.0
+PICKS = count()
+
+
+def configuration(version=1):
+    """The operator's configuration: one database for each kind of route."""
+    routes = [
+        route("own", "read_your_writes", maxStalenessMs=2500),
+        route("primary", "primary"),
+        route("bounded", "bounded_staleness", maxStalenessMs=1500),
+    ]
+    return {
+        "configVersion": version,
+        "routes": routes,
+        "services": [{"name": GROUP, "maxConns": 40, "syncReplicas": 1}],
+        "limits": {"txIdleMs": 3000},
+    }
+
+
+def route(database, kind, **more):
+    """One route."""
+    return {
+        "name": f"r-{database}",
+        "databaseName": database,
+        "routeType": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 400,
+        "service": GROUP,
+        **more,
+    }
+
+
+class World:
+    """Stand-ins in this process, daemons as processes of their own."""
+
+    def __init__(self, *, folder):
+        self.folder = Path(folder)
+        self.store = ObjectStore()
+        self.group = FakeGroup(name=GROUP).add()
+        self.addresses = {}
+        self.servers = {}
+        self.daemons = {}
+        self.ports = {}
+        self.highest = 0
+
+    async def start(self, daemons=3):
+        """Start everything; returns when all daemons are ready."""
+        self.store.promote = self.promote
+        self.store.put(CONFIG_KIND, CONFIG_NAME, configuration())
+        for member in self.group.members:
+            self.servers[member.id], self.addresses[member.id] = await listen(member)
+            self.list_member(member)
+        self.address = self.store.listen()
+        for number in range(daemons):
+            await self.start_daemon(f"d{number}")
+        for name in self.daemons:
+            await self.until_ready(name)
+
+    def list_member(self, member):
+        """Write a member's entry."""
+        spec = {
+            "service": GROUP,
+            "address": self.addresses[member.id],
+            "zone": "a",
+            "capacity": 5,
+            "state": "ready",
+            "dbRole": "primary" if member.leads else "replica",
+        }
+        self.store.put(UPSTREAM_KIND, member.id, spec)
+
+    def promote(self, group, upstream, token):
+        """The platform's call: fenced, in effect a moment later."""
+        member = self.group[upstream]
+        if token < self.highest or member.dead:
+            return False
+        self.highest = token
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROMOTE_TIME, self.promoted, upstream)
+        return True
+
+    def promoted(self, upstream):
+        """The promotion takes effect, and members report it."""
+        self.group.promote(upstream)
+        for member in self.group.members:
+            if not member.dead:
+                self.list_member(member)
+
+    async def start_daemon(self, name):
+        """Start one daemon on ports of the system's choice."""
+        ports = self.ports.setdefault(name, (free_port(), free_port()))
+        settings = {
+            "daemon": name,
+            "domain": "a",
+            "callers": f"127.0.0.1:{ports[0]}",
+            "probes": f"127.0.0.1:{ports[1]}",
+            "store": self.address,
+            "promotions": self.address,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.daemons[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "gypsum_platform",
+                cwd=ROOT,
+                env={**os.environ, "GYPSUMHITCH_SETTINGS": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def until_ready(self, name):
+        """Wait until a daemon says that it is ready."""
+        for _ in range(START_TRIES):
+            if await self.is_ready(name):
+                return
+            await asyncio.sleep(TRY_PAUSE)
+        raise AssertionError(f"{name} did not get ready")
+
+    async def is_ready(self, name):
+        """Ask a daemon whether it is ready."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ports[name][1]
+            )
+            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await reader.readline()
+            writer.close()
+        except OSError:
+            return False
+        return b" 200 " in line
+
+    def crash(self, upstream):
+        """An upstream dies; its entry vanishes a moment later."""
+        member = self.group[upstream]
+        self.servers[upstream].close()
+        member.crash()
+        loop = asyncio.get_running_loop()
+        loop.call_later(UNLISTED_AFTER, self.store.remove, UPSTREAM_KIND, upstream)
+
+    async def stop(self, name, number=signal.SIGTERM):
+        """Signal a daemon and wait for its end; returns its exit code."""
+        daemon = self.daemons.pop(name)
+        daemon.send_signal(number)
+        return await daemon.wait()
+
+    async def close(self):
+        """End what is still running."""
+        for name in list(self.daemons):
+            await self.stop(name, signal.SIGKILL)
+        for server in self.servers.values():
+            server.close()
+
+
+@asynccontextmanager
+async def world(folder, daemons=3):
+    """A world that is ended afterwards."""
+    made = World(folder=folder)
+    try:
+        await made.start(daemons)
+        yield made
+    finally:
+        await made.close()
+
+
+class Client:
+    """One caller's connection."""
+
+    def __init__(self, *, reader, writer, name):
+        self.reader = reader
+        self.writer = writer
+        self.name = name
+        self.sent = 0
+
+    @classmethod
+    async def connect(cls, port, database, name):
+        """Open a session; ConnectionError if it is refused."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        client = cls(reader=reader, writer=writer, name=name)
+        writer.write(f"STARTUP {database} {name}\r\n".encode())
+        if not (await client.line()).startswith("READY"):
+            raise ConnectionError("refused")
+        return client
+
+    async def line(self):
+        """The next line; ConnectionError at the end."""
+        async with asyncio.timeout(ANSWER_LIMIT):
+            text = await self.reader.readline()
+        if not text:
+            raise ConnectionError("closed")
+        return text.decode().rstrip("\r\n")
+
+    async def query(self, text):
+        """Run a statement; (rows, COMPLETE or ERROR with its code)."""
+        self.sent += 1
+        self.writer.write(f"QUERY {self.name}-{self.sent} {text}\r\n".encode())
+        rows, end = [], ""
+        while True:
+            word, _, rest = (await self.line()).partition(" ")
+            if word == "READY":
+                return rows, end
+            if word == "DATAROW":
+                rows.append(rest)
+            else:
+                end = "COMPLETE" if word == "COMPLETE" else rest.split(" ")[0]
+
+    def close(self):
+        """Close the connection."""
+        self.writer.close()
+
+
+class Load:
+    """Callers that write and read back what they wrote, through any daemon."""
+
+    def __init__(self, *, made):
+        self.made = made
+        self.kept = []
+        self.refused = []
+        self.unclear = []
+        self.stale = []
+        self.running = True
+
+    async def run(self, callers=6):
+        """Run callers until told to stop."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(callers):
+                group.create_task(self.caller(number))
+
+    async def caller(self, number):
+        """One caller; it comes back elsewhere when its connection ends."""
+        turn = number
+        while self.running:
+            turn += 1
+            names = sorted(self.made.daemons)
+            port = self.made.ports[names[turn % len(names)]][0]
+            try:
+                client = await Client.connect(port, "own", f"c{number}t{turn}")
+            except OSError:
+                await asyncio.sleep(TRY_PAUSE)
+                continue
+            try:
+                await self.session(client)
+            except OSError:
+                continue
+            finally:
+                client.close()
+
+    async def session(self, client):
+        """Write and read until the end or the connection's."""
+        while self.running:
+            data = f"{client.name}x{client.sent}"
+            self.unclear.append(data)
+            _, end = await client.query(f"WRITE {client.name} {data}")
+            if end == "COMPLETE":
+                self.unclear.remove(data)
+                self.kept.append(data)
+                await self.read_back(client, data)
+            elif end in ("BUSY", "ABORTED"):
+                self.unclear.remove(data)
+                self.refused.append(data)
+            await asyncio.sleep(TRY_PAUSE / 5)
+
+    async def read_back(self, client, data):
+        """The session's next read shows its last write."""
+        rows, end = await client.query(f"READ {client.name}")
+        if end == "COMPLETE" and rows != [data]:
+            self.stale.append((data, rows))
+
+    def broken(self):
+        """Broken promises: what was lost, run twice, or run though refused."""
+        log = [data for entry in self.made.group.leader.log for _, data in entry.writes]
+        lost = [data for data in self.kept if data not in log]
+        twice = [data for data in set(log) if log.count(data) > 1]
+        untrue = [data for data in self.refused if data in log]
+        return {
+            name: found
+            for name, found in (
+                ("lost", lost),
+                ("twice", twice),
+                ("refused but run", untrue),
+                ("stale", self.stale),
+            )
+            if found
+        }
+
+    async def until_kept(self, more):
+        """Wait until so many more writes were acknowledged."""
+        goal = len(self.kept) + more
+        for _ in range(START_TRIES):
+            if len(self.kept) >= goal:
+                return
+            await asyncio.sleep(TRY_PAUSE)
+        raise AssertionError(f"only {len(self.kept)} of {goal} writes acknowledged")
+
+
+def free_port():
+    """A port that is free now, of those that the system gives nobody by itself."""
+    for port in range(next_port(), 32000):
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no free port")
+
+
+def next_port():
+    """A starting point that differs between processes and calls."""
+    return 20000 + (os.getpid() * 37 + next(PICKS) * 11) % 11000
