--- /dev/null
+++ b/packages/sessions/gypsum_sessions/replication.py
@@ -0,0 +1,130 @@
+"""Commands to a group's members: status, pausing replication, stepping down."""
+
+import asyncio
+from dataclasses import dataclass
+
+from gypsum_sessions.borrow import borrowed
+from gypsum_sessions.replies import UpstreamBusy, UpstreamError, UpstreamStatus
+from gypsum_sessions.statements import (
+    RESUME_REPLICATION,
+    STATUS,
+    Statement,
+    StatementKind,
+)
+
+# Unanswered or refused commands to a member are repeated this often per round.
+COMMAND_TRIES = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Paused:
+    """A member whose replication is paused, and its status then.
+
+    `held_before` says that it was paused already, so that its log has not grown.
+    """
+
+    upstream: str
+    leaving: bool
+    held_before: bool = False
+    status: UpstreamStatus
+
+
+class ReplicationControl:
+    """Gives one group's members commands and remembers whom it has paused.
+
+    `paused` maps upstreams to the term they were paused for.
+    """
+
+    def __init__(self, *, group, log):
+        self.group = group
+        self.around = group.around
+        self.log = log
+        self.paused = {}
+        self.missing = []
+
+    async def pause_all(self, old, *, step_down):
+        """Pause all replicas; their statuses, or None if one did not answer."""
+        others = [item for item in self.group.upstreams.values() if item.id != old]
+        if not others:
+            return None
+        statuses = await asyncio.gather(*(self.status_of(item) for item in others))
+        if any(status is None for status in statuses):
+            self.note_missing(
+                [
+                    item.id
+                    for item, status in zip(others, statuses, strict=True)
+                    if status is None
+                ]
+            )
+            return None
+        if any(status.leads for status in statuses):
+            # Nothing to pause: there is a primary, the watch has yet to find it.
+            self.log("another member leads", statuses=str(statuses))
+            return None
+        term = max(status.term for status in statuses) + 1
+        if step_down and old in self.group.upstreams:
+            await self.command(
+                self.group.upstreams[old],
+                Statement(kind=StatementKind.STEP_DOWN, term=term),
+            )
+            await asyncio.sleep(self.around.tuning.handover_pause)
+        pause = Statement(kind=StatementKind.PAUSE_REPLICATION, term=term)
+        paused = await asyncio.gather(*(self.command(item, pause) for item in others))
+        for item in others:
+            self.paused[item.id] = term
+        if any(status is None or status.held_term < term for status in paused):
+            self.log("not all members paused", term=term, answers=str(paused))
+            return None
+        return [
+            Paused(
+                upstream=item.id,
+                leaving=item.member.leaving or item.member.missing_since is not None,
+                held_before=before.held_term > 0,
+                status=status,
+            )
+            for item, before, status in zip(others, statuses, paused, strict=True)
+        ]
+
+    def note_missing(self, silent):
+        """Say whom an attempt waits for, when that changes."""
+        if silent != self.missing:
+            self.log("waiting for members", silent=silent)
+        self.missing = silent
+
+    async def status_of(self, item):
+        """A member's status, or None."""
+        return await self.command(item, STATUS)
+
+    async def command(self, item, statement):
+        """Give a member a command; its status then, or None if it did not answer."""
+        for _ in range(COMMAND_TRIES):
+            try:
+                return await self.command_once(item, statement)
+            except UpstreamError as exc:
+                self.log(
+                    "command failed",
+                    upstream=item.id,
+                    command=str(statement.kind),
+                    error=str(exc),
+                )
+        return None
+
+    async def command_once(self, item, statement):
+        """One try of a command; raises UpstreamError."""
+        async with borrowed(self.around, item) as conn:
+            reply = await conn.ask(
+                statement, timeout=self.around.tuning.command_timeout
+            )
+            if reply.ok:
+                return conn.read_status(reply)
+        raise UpstreamBusy(
+            f"{reply.refusal} {reply.detail}", step="command", peer=item.id
+        )
+
+    async def resume_all(self):
+        """Let all that were paused go on; those that do not answer stay noted."""
+        for upstream in list(self.paused):
+            item = self.group.upstreams.get(upstream)
+            if item is None or await self.command(item, RESUME_REPLICATION):
+                del self.paused[upstream]
+                self.log("replication resumed", upstream=upstream)
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 from enum import StrEnum
 
 from xxhash import xxh64_intdigest
@@ -18,13 +17,8 @@
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.borrow import borrowed
 from gypsum_sessions.leader import prove_leads
-from gypsum_sessions.replies import UpstreamBusy, UpstreamError, UpstreamStatus
-from gypsum_sessions.statements import (
-    RESUME_REPLICATION,
-    STATUS,
-    Statement,
-    StatementKind,
-)
+from gypsum_sessions.replication import ReplicationControl
+from gypsum_sessions.replies import UpstreamError
 
 PART = "takeover"
 # How often a group is looked at, seconds.
@@ -33,8 +27,6 @@
 ROUND_PAUSE = 0.1
 # An attempt that found no way in this time is given up, seconds.
 ATTEMPT_LIMIT = 12.0
-# Unanswered or refused commands to a member are repeated this often per attempt.
-COMMAND_TRIES = 2
 
 
 class Reason(StrEnum):
@@ -46,19 +38,6 @@
     RESUME = "replicas were paused for nothing"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Paused:
-    """A member whose replication is paused, and its status then.
-
-    `held_before` says that it was paused already, so that its log has not grown.
-    """
-
-    upstream: str
-    leaving: bool
-    held_before: bool = False
-    status: UpstreamStatus
-
-
 def choose(paused, ordered=""):
     """The member to promote: the longest log, then one that stays, then any.
 
@@ -95,9 +74,8 @@
         self.promoter = promoter
         self.relist = relist
         self.lease = None
-        self.paused_by_us = {}
+        self.control = ReplicationControl(group=group, log=self.log)
         self.ordered = ""
-        self.missing = []
         self.rest_until = 0.0
         self.promotions = 0
 
@@ -144,7 +122,7 @@
         """Tell whether replicas that we paused should go on."""
         return bool(
             self.group.watch.leader
-            and self.paused_by_us
+            and self.control.paused
             and self.around.clock() >= self.rest_until
         )
 
@@ -231,7 +209,9 @@
         if floor is None or not replicas:
             return False
         await asyncio.sleep(self.around.tuning.stall_look)
-        statuses = await asyncio.gather(*(self.status_of(item) for item in replicas))
+        statuses = await asyncio.gather(
+            *(self.control.status_of(item) for item in replicas)
+        )
         known = [status for status in statuses if status is not None]
         if any(status.received >= floor.position for status in known):
             self.group.stall.forget()
@@ -258,7 +238,7 @@
         if age < self.around.tuning.settled_after:
             self.rest_until = self.around.clock() + ROUND_PAUSE
             return
-        self.paused_by_us.update(held)
+        self.control.paused.update(held)
         self.lease = None
         await self.resume_all()
 
@@ -284,7 +264,7 @@
 
     async def try_once(self, old, *, step_down):
         """One round: pause all, choose, order; tell whether the attempt is over."""
-        paused = await self.pause_all(old, step_down=step_down)
+        paused = await self.control.pause_all(old, step_down=step_down)
         if paused is None:
             return False
         best = choose(paused, self.ordered)
@@ -305,7 +285,7 @@
             best, self.patience(outcome)
         ):
             self.promotions += 1
-            self.paused_by_us.clear()
+            self.control.paused.clear()
             self.rest_until = self.around.clock() + self.around.tuning.lease_look
             return True
         # The token is spent: the order may still be carried out, or was refused.
@@ -348,87 +328,6 @@
             self.group.watch.proven(item.id, position, asked_at)
         return position is not None
 
-    # Commands to members
-
-    async def pause_all(self, old, *, step_down):
-        """Pause all replicas; their statuses, or None if one did not answer."""
-        others = [item for item in self.group.upstreams.values() if item.id != old]
-        if not others:
-            return None
-        statuses = await asyncio.gather(*(self.status_of(item) for item in others))
-        if any(status is None for status in statuses):
-            self.note_missing(
-                [
-                    item.id
-                    for item, status in zip(others, statuses, strict=True)
-                    if status is None
-                ]
-            )
-            return None
-        if any(status.leads for status in statuses):
-            # Nothing to pause: there is a primary, the watch has yet to find it.
-            self.log("another member leads", statuses=str(statuses))
-            return None
-        term = max(status.term for status in statuses) + 1
-        if step_down and old in self.group.upstreams:
-            await self.command(
-                self.group.upstreams[old],
-                Statement(kind=StatementKind.STEP_DOWN, term=term),
-            )
-            await asyncio.sleep(self.around.tuning.handover_pause)
-        pause = Statement(kind=StatementKind.PAUSE_REPLICATION, term=term)
-        paused = await asyncio.gather(*(self.command(item, pause) for item in others))
-        for item in others:
-            self.paused_by_us[item.id] = term
-        if any(status is None or status.held_term < term for status in paused):
-            self.log("not all members paused", term=term, answers=str(paused))
-            return None
-        return [
-            Paused(
-                upstream=item.id,
-                leaving=item.member.leaving or item.member.missing_since is not None,
-                held_before=before.held_term > 0,
-                status=status,
-            )
-            for item, before, status in zip(others, statuses, paused, strict=True)
-        ]
-
-    def note_missing(self, silent):
-        """Say whom an attempt waits for, when that changes."""
-        if silent != self.missing:
-            self.log("waiting for members", silent=silent)
-        self.missing = silent
-
-    async def status_of(self, item):
-        """A member's status, or None."""
-        return await self.command(item, STATUS)
-
-    async def command(self, item, statement):
-        """Give a member a command; its status then, or None if it did not answer."""
-        for _ in range(COMMAND_TRIES):
-            try:
-                return await self.command_once(item, statement)
-            except UpstreamError as exc:
-                self.log(
-                    "command failed",
-                    upstream=item.id,
-                    command=str(statement.kind),
-                    error=str(exc),
-                )
-        return None
-
-    async def command_once(self, item, statement):
-        """One try of a command; raises UpstreamError."""
-        async with borrowed(self.around, item) as conn:
-            reply = await conn.ask(
-                statement, timeout=self.around.tuning.command_timeout
-            )
-            if reply.ok:
-                return conn.read_status(reply)
-        raise UpstreamBusy(
-            f"{reply.refusal} {reply.detail}", step="command", peer=item.id
-        )
-
     async def resume_all(self):
         """Let paused replicas go on: the primary is back and was not replaced.
 
@@ -439,7 +338,7 @@
         ours = self.lease.token if self.lease else self.board.token(self.group.name)
         if self.board.token(self.group.name) > ours:
             self.log("left paused for the daemon that took over")
-            self.paused_by_us.clear()
+            self.control.paused.clear()
             return
         leader = self.group.watch.leader
         if not leader or not await self.take_lease(Reason.RESUME):
@@ -451,8 +350,4 @@
         if outcome is not PromoteOutcome.ACCEPTED:
             self.rest_until = self.around.clock() + self.around.tuning.lease_look
             return
-        for upstream in list(self.paused_by_us):
-            item = self.group.upstreams.get(upstream)
-            if item is None or await self.command(item, RESUME_REPLICATION):
-                del self.paused_by_us[upstream]
-                self.log("replication resumed", upstream=upstream)
+        await self.control.resume_all()
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -122,6 +122,7 @@
         refused = await open_at_upstream(group, tx, job)
         if refused is not None:
             return refused
+    job.tried = [tx.upstream]
     tx.wrote = tx.wrote or job.statement.writes
     try:
         await level(group, job, tx.pooled)
@@ -165,6 +166,7 @@
         refused = await open_at_upstream(group, tx, job)
         if refused is not None:
             return refused
+    job.tried = [tx.upstream]
     asked_at = group.around.clock()
     number = group.stall.begin(asked_at) if tx.wrote else 0
     try:
--- a/tests/sessions/breaks.py
+++ b/tests/sessions/breaks.py
@@ -15,8 +15,8 @@
     writes,
 )
 from gypsum_sessions.floors import Floors
+from gypsum_sessions.replication import Paused, ReplicationControl
 from gypsum_sessions.replies import Refusal, Reply
-from gypsum_sessions.takeover import Paused, Takeover
 
 
 async def pass_on_every_commit(group, position, leader, *, stalled):
@@ -77,7 +77,7 @@
         (transactions, "is_safe", pass_on_every_commit),
     ],
     "floors of any age": [(Floors, "since", oldest_floor)],
-    "nobody is paused": [(Takeover, "pause_all", pause_nobody)],
+    "nobody is paused": [(ReplicationControl, "pause_all", pause_nobody)],
     "connections are not reset": [(pooled, "needs_reset", never_reset)],
     "lost writes are told as not run": [(writes, "lost_write", told_as_not_run)],
     "lost writes are sent again": [(writes, "lost_write", sent_again)],
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from gypsum_core.records import Position
+from gypsum_sessions.replication import Paused
 from gypsum_sessions.replies import Refusal, UpstreamStatus
-from gypsum_sessions.takeover import Paused, choose, place_in_order
+from gypsum_sessions.takeover import choose, place_in_order
 from tests.sessions.fakegroup import PROMOTE_TIME
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
