--- a/packages/sessions/gypsum_sessions/borrow.py
+++ b/packages/sessions/gypsum_sessions/borrow.py
@@ -2,22 +2,31 @@
 
 from contextlib import asynccontextmanager
 
+from gypsum_sessions.replies import UpstreamRefused
+
 
 @asynccontextmanager
-async def borrowed(around, item):
-    """A connection for a command: an idle one of the pool, else one of its own.
+async def borrowed(around, item, *, urgent=False):
+    """A connection of the pool; if all are in use, an urgent one is opened apart.
 
-    Commands must not wait behind callers' statements for a free connection.
+    Commands of a takeover must not wait behind callers' statements. Where the
+    upstream takes no further connection they wait all the same. Raises UpstreamError.
     """
-    pooled = item.pool.take_idle({})
-    if pooled is not None:
+    if urgent and not item.pool.has_room():
         try:
-            yield pooled.conn
-        finally:
-            item.pool.release(pooled)
-        return
-    conn = await around.dialer.dial(item.member, timeout=around.tuning.dial_timeout)
+            conn = await around.dialer.dial(
+                item.member, timeout=around.tuning.dial_timeout
+            )
+        except UpstreamRefused:
+            conn = None
+        if conn is not None:
+            try:
+                yield conn
+            finally:
+                conn.close()
+            return
+    pooled = await item.pool.acquire(values={}, timeout=around.tuning.ping_timeout)
     try:
-        yield conn
+        yield pooled.conn
     finally:
-        conn.close()
+        item.pool.release(pooled)
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -98,6 +98,11 @@
             member=member, pool=pool, mean=self.around.tuning.first_mean
         )
 
+    def trim(self):
+        """Close connections that are not needed."""
+        for item in self.upstreams.values():
+            item.pool.trim()
+
     def connection_limit(self):
         """This daemon's share of an upstream's connections.
 
--- a/packages/sessions/gypsum_sessions/leader.py
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -12,6 +12,7 @@
     UpstreamBusy,
     UpstreamError,
     UpstreamLost,
+    UpstreamRefused,
 )
 from gypsum_sessions.statements import BEGIN_WRITING, ROLLBACK
 
@@ -152,37 +153,53 @@
 
     async def try_target(self, target):
         """Ask for a proof, on a fresh connection if the kept one is silent."""
-        for attempt in ("kept", "fresh"):
-            fresh = attempt == "fresh"
-            if fresh or self.conn_to != target or not self.conn.alive:
-                if not await self.dial(target):
-                    return False
-                fresh = True
-            asked_at = self.clock()
-            try:
-                position = await prove_leads(
-                    self.conn, timeout=self.tuning.ping_timeout
-                )
-            except UpstreamBusy:
-                return self.keep_busy(target)
-            except UpstreamError as exc:
-                self.log(
-                    PART,
-                    "no proof",
-                    group=self.group.name,
-                    upstream=target,
-                    connection=attempt,
-                    error=str(exc),
-                )
-                self.drop_conn()
-                if fresh:
-                    return False
-                continue
-            if position is None:
-                return False
-            self.proven(target, position, asked_at)
-            return True
-        return False
+        if self.conn_to == target and self.conn.alive:
+            kept = await self.ask_on_own(target, "kept")
+            if kept is not None:
+                return kept
+        try:
+            dialled = await self.dial(target)
+        except UpstreamRefused:
+            return await self.ask_on_pooled(target)
+        if not dialled:
+            return False
+        return bool(await self.ask_on_own(target, "fresh"))
+
+    async def ask_on_own(self, target, connection):
+        """Ask on the connection for proofs; None if that gave no answer."""
+        asked_at = self.clock()
+        try:
+            position = await prove_leads(self.conn, timeout=self.tuning.ping_timeout)
+        except UpstreamBusy:
+            return self.keep_busy(target)
+        except UpstreamError as exc:
+            self.log(
+                PART,
+                "no proof",
+                group=self.group.name,
+                upstream=target,
+                connection=connection,
+                error=str(exc),
+            )
+            self.drop_conn()
+            return None
+        if position is None:
+            return False
+        self.proven(target, position, asked_at)
+        return True
+
+    async def ask_on_pooled(self, target):
+        """Ask on a connection of the pool: the upstream takes no further ones.
+
+        What goes wrong without it: all daemons together have used up the upstream's
+        connections, and a healthy leader counts as lost.
+        """
+        member = self.group.member(target)
+        result = await self.ask_member(member) if member else None
+        if result is None:
+            return False
+        self.proven(*result)
+        return True
 
     def keep_busy(self, target):
         """Tell whether a leader whose queue is full is still taken for one.
@@ -197,7 +214,10 @@
         return self.clock() - since < self.tuning.busy_limit
 
     async def dial(self, target):
-        """Open the connection for proofs; tell whether it worked."""
+        """Open the connection for proofs; tell whether it worked.
+
+        Raises UpstreamRefused when the upstream is there and takes none.
+        """
         self.drop_conn()
         member = self.group.member(target)
         if member is None:
@@ -212,6 +232,8 @@
                 upstream=target,
                 error=str(exc),
             )
+            if isinstance(exc, UpstreamRefused):
+                raise
             return False
         self.conn_to = target
         return True
--- a/packages/sessions/gypsum_sessions/leaseboard.py
+++ b/packages/sessions/gypsum_sessions/leaseboard.py
@@ -4,6 +4,9 @@
 
 from gypsum_sessions.borders import PromotionLease
 
+# A takeover that began before this process may be under way this long, seconds.
+START_REST = 1.0
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SeenLease:
@@ -31,6 +34,15 @@
         self.rest = rest
         self.seen = {}
 
+    def note_first(self, group, lease):
+        """Take in a lease as it was found at the start.
+
+        Nobody knows since when it is so. A promotion takes up to a second and this
+        process took a part of that to start, so little of a rest is left.
+        """
+        found = self.clock() - self.rest + START_REST
+        self.seen[group] = SeenLease(lease=lease, seen_at=found, chain_began=found)
+
     def note(self, group, lease):
         """Take in a lease as the store has it; older news are ignored."""
         known = self.seen.get(group)
--- a/packages/sessions/gypsum_sessions/pool.py
+++ b/packages/sessions/gypsum_sessions/pool.py
@@ -44,6 +44,11 @@
                 )
             await self.wait_turn(until - self.clock())
 
+    def has_room(self):
+        """Tell whether a connection can be had without waiting for another's end."""
+        self.drop_dead()
+        return bool(self.idle) or self.opened < self.limit
+
     def take_idle(self, values):
         """An idle connection, or None; dead ones are dropped on the way."""
         self.drop_dead()
@@ -109,6 +114,7 @@
         """Give a connection back; a closed one makes room for a new one."""
         self.in_use -= 1
         if pooled.alive and not self.closed and not pooled.in_transaction:
+            pooled.idle_since = self.clock()
             self.idle.append(pooled)
         else:
             pooled.conn.close()
@@ -123,6 +129,19 @@
                 turn.set_result(None)
                 return
 
+    def trim(self):
+        """Close what was not needed for a while, but for one connection.
+
+        What goes wrong without it: after a rush every daemon holds its full share
+        for ever, and together with the connections for proofs and commands that is
+        more than an upstream takes.
+        """
+        limit = self.clock() - self.tuning.idle_limit
+        old = [item for item in self.idle if item.idle_since < limit]
+        for pooled in old[: self.opened - 1]:
+            pooled.conn.close()
+        self.drop_dead()
+
     def close(self):
         """Close what is idle; what is in use is closed when it comes back."""
         self.closed = True
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -256,6 +256,8 @@
                 self.log(PART, "upstream gone", upstream=member.id)
                 self.refresh_members(member.group)
             await self.end_idle_transactions()
+            for group in self.groups.values():
+                group.trim()
 
     async def end_idle_transactions(self):
         """Roll back transactions whose callers have been silent for too long."""
--- a/packages/sessions/gypsum_sessions/replication.py
+++ b/packages/sessions/gypsum_sessions/replication.py
@@ -111,7 +111,7 @@
 
     async def command_once(self, item, statement):
         """One try of a command; raises UpstreamError."""
-        async with borrowed(self.around, item) as conn:
+        async with borrowed(self.around, item, urgent=True) as conn:
             reply = await conn.ask(
                 statement, timeout=self.around.tuning.command_timeout
             )
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -317,7 +317,7 @@
     async def leads(self, item):
         """Ask a member whether it leads."""
         try:
-            async with borrowed(self.around, item) as conn:
+            async with borrowed(self.around, item, urgent=True) as conn:
                 asked_at = self.around.clock()
                 position = await prove_leads(
                     conn, timeout=self.around.tuning.ping_timeout
--- a/tests/sessions/test_pool.py
+++ b/tests/sessions/test_pool.py
@@ -141,3 +141,25 @@
         assert not held.alive and pool.opened == 0
 
     run(main())
+
+
+def test_what_was_not_needed_for_a_while_is_closed_but_for_one():
+    """Symptom: an upstream refuses the connection that proves its lead.
+
+    Sequence: a rush makes every daemon open its full share, and keep it; together
+    with proofs and commands that is over the upstream's limit. Cause: idle
+    connections were kept for ever.
+    """
+
+    async def main():
+        pool, group, _ = make_pool(limit=3)
+        held = [await pool.acquire(values={}, timeout=1.0) for _ in range(3)]
+        for pooled in held:
+            pool.release(pooled)
+        pool.trim()
+        assert pool.opened == 3
+        await asyncio.sleep(DEFAULT_SESSION_TUNING.idle_limit + 0.1)
+        pool.trim()
+        assert pool.opened == 1 == len(group["u1"].conns)
+
+    run(main())
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -403,3 +403,46 @@
         assert rig.proxy.groups["db"].member("u3") is None
 
     run(main())
+
+
+def test_an_upstream_that_takes_no_more_connections_still_leads():
+    """Symptom: writes are refused for want of a primary that is well.
+
+    Sequence: after a restart of all daemons an upstream is at its limit of
+    connections; the one for proofs is refused. Cause: that counted as a lost leader.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        caller = rig.caller("own")
+        assert (await caller.send("WRITE a 1")).ok
+        rig.group["u1"].limit = len(rig.group["u1"].conns) - 2
+        for proxy in rig.proxies:
+            proxy.groups["db"].watch.drop_conn()
+        await asyncio.sleep(3.0)
+        assert (await caller.send("WRITE a 2")).ok
+        assert rig.group.promotions == []
+        lost = [line for line in rig.lines if line[1:3] == ("leader", "lost")]
+        assert lost == []
+
+    run(main())
+
+
+def test_a_lease_found_at_the_start_does_not_hold_commits_back_for_long():
+    """Symptom: after a restart of all daemons commits are in doubt for seconds.
+
+    Sequence: a takeover took place an hour ago, a daemon starts and reads the lease.
+    Cause: a lease that is new to the daemon looked like a takeover under way.
+    """
+
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        group = rig.proxy.groups["db"]
+        rig.proxy.board.note_first("db", rig.leases.lease)
+        assert group.takeover_under_way()
+        await asyncio.sleep(1.1)
+        assert not group.takeover_under_way()
+
+    run(main())
