--- a/bench/run.py
+++ b/bench/run.py
@@ -2,10 +2,19 @@
 
 import sys
 
-from bench import connections, failover, logic, manifests, overload, path, replicas
+from bench import (
+    connections,
+    failover,
+    logic,
+    manifests,
+    overload,
+    path,
+    replicas,
+    start,
+)
 from bench.report import show
 
-PARTS = (logic, path, connections, manifests, failover, replicas, overload)
+PARTS = (start, logic, path, connections, manifests, failover, replicas, overload)
 
 
 def main():
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -18,7 +18,8 @@
     """What all groups of a daemon share.
 
     `domain` is this daemon's failure domain; `daemons` tells how many daemons share
-    the upstreams' connections.
+    the upstreams' connections; `drain_seconds` is how long an upstream that leaves
+    may still be sent work.
     """
 
     clock: Clock
@@ -28,6 +29,7 @@
     domain: str
     daemons: "Daemons"
     board: LeaseBoard
+    drain_seconds: float
 
 
 class Daemons:
@@ -115,7 +117,28 @@
     def candidates(self):
         """All upstreams as the router sees them."""
         now = self.around.clock()
-        return [self.candidate(item, now) for item in self.upstreams.values()]
+        return [
+            self.candidate(item, now)
+            for item in self.upstreams.values()
+            if self.takes_work(item.member)
+        ]
+
+    def takes_work(self, member):
+        """Tell whether a member may be sent work: it stays, or left a moment ago.
+
+        What goes wrong without it: a primary that leaves and cannot be replaced, as
+        the store is away, is sent work until it is gone with it.
+        """
+        if member.leaving_since is None:
+            return True
+        left_for = self.around.clock() - member.leaving_since
+        return left_for < self.around.drain_seconds - self.around.tuning.drain_margin
+
+    async def wait_writable(self, timeout):
+        """The upstream that leads and takes work; None if there is none in time."""
+        leader = await self.watch.wait_leader(timeout)
+        item = self.upstreams.get(leader)
+        return item if item is not None and self.takes_work(item.member) else None
 
     def candidate(self, item, now):
         """One upstream as the router sees it."""
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -42,6 +42,7 @@
         *,
         name,
         domain,
+        drain_seconds,
         clock,
         dialer,
         leases,
@@ -69,6 +70,7 @@
             tuning=tuning,
             log=log,
             domain=domain,
+            drain_seconds=drain_seconds,
             daemons=self.daemons,
             board=self.board,
         )
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -58,6 +58,8 @@
     if not await find_floor(group, job):
         return no_leader(group.around.tuning)
     while job.left(group.around.clock) > 0:
+        if not group.candidates():
+            return no_leader(group.around.tuning)
         attempt = await race(group, job)
         if attempt is not None and attempt.final:
             return attempt.reply
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -58,12 +58,12 @@
     around, clock = group.around, group.around.clock
     wait_until = clock() + job.left(clock) * around.tuning.leader_wait_share
     while clock() < wait_until:
-        leader = await group.watch.wait_leader(wait_until - clock())
-        if not leader or leader not in group.upstreams:
+        item = await group.wait_writable(wait_until - clock())
+        if item is None:
             break
-        if await begin_at(group, tx, job, group.upstreams[leader], BEGIN_WRITING):
+        if await begin_at(group, tx, job, item, BEGIN_WRITING):
             return None
-        group.watch.doubt(leader)
+        group.watch.doubt(item.id)
         await asyncio.sleep(BUSY_PAUSE)
     return no_leader(around.tuning)
 
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -95,8 +95,9 @@
     retry_after_ms: int = 500
     # ... and after this when there was merely no free connection.
     busy_retry_after_ms: int = 100
-    # Work still sent to a leaving upstream: the part of its drain time used.
-    drain_share: float = 0.6
+    # Work is sent to a leaving upstream up to this long before the end of the time
+    # that it may be: a statement may wait for a slot on the way.
+    drain_margin: float = 1.0
 
 
 DEFAULT_SESSION_TUNING = SessionTuning()
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -32,12 +32,12 @@
     wait_until = clock() + job.left(clock) * around.tuning.leader_wait_share
     last = None
     while clock() < wait_until:
-        leader = await group.watch.wait_leader(wait_until - clock())
-        if not leader or leader not in group.upstreams:
+        item = await group.wait_writable(wait_until - clock())
+        if item is None:
             break
-        job.tried.append(leader)
+        job.tried.append(item.id)
         try:
-            reply = await try_write(group, job, group.upstreams[leader])
+            reply = await try_write(group, job, item)
         except NotSent as exc:
             around.log(PART, "not sent", request=job.request, error=str(exc))
             await asyncio.sleep(REFUSED_PAUSE)
@@ -45,7 +45,7 @@
         if reply.refusal not in NOT_RUN or reply.refusal is Refusal.MALFORMED:
             return reply
         last = reply
-        group.watch.doubt(leader)
+        group.watch.doubt(item.id)
         await asyncio.sleep(REFUSED_PAUSE)
     if last is None:
         return no_leader(around.tuning)
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -120,6 +120,7 @@
         proxy = Proxy(
             name=name,
             domain="a",
+            drain_seconds=7.0,
             clock=self.loop.clock,
             dialer=FakeDialer(group=self.group, loop=self.loop),
             leases=self.leases,
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -446,3 +446,30 @@
         assert not group.takeover_under_way()
 
     run(main())
+
+
+def test_a_leaving_primary_that_cannot_be_replaced_is_left_in_time():
+    """Symptom: work is sent to an upstream long after it said that it leaves.
+
+    Sequence: the primary leaves, the store is away, so nobody can be promoted. Cause:
+    it still led, and nothing else was asked.
+    """
+
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        rig.leases.down = True
+        listing = rig.group.listing()
+        rig.proxy.take_members(
+            [replace_leaving(item) if item.id == "u1" else item for item in listing]
+        )
+        caller = rig.caller("own")
+        assert (await caller.send("WRITE a 1")).ok
+        await asyncio.sleep(6.5)
+        runs = rig.group["u1"].runs
+        reply = await caller.send("WRITE a 2")
+        assert reply.refusal is Refusal.BUSY and reply.retry_after_ms
+        await rig.caller("bounded").send("READ a")
+        assert rig.group["u1"].runs == runs
+
+    run(main())
