--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -23,7 +23,7 @@
 CAUSES = {
     "busy": "It has not run: {detail}. The caller was told when to come back.",
     "aborted": "Its transaction was rolled back, nothing is kept: {detail}.",
-    "in_doubt": "It was sent to an upstream whose answer is missing: {detail}.",
+    "in_doubt": "It was sent, and whether it is kept is not known: {detail}.",
     "timeout": "No upstream answered in the route's time: {detail}.",
     "unknown_database": "No route of the configuration in force has the name {detail}.",
     "lagging": "No upstream had the position it has to show: {detail}.",
