--- a/packages/sessions/gypsum_sessions/leader.py
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -62,6 +62,10 @@
         self.asking = {}
         self.last_leader = ""
 
+    def note(self, event, upstream, **fields):
+        """Write one line about this group."""
+        self.log(PART, event, group=self.group.name, upstream=upstream, **fields)
+
     # For the rest of the daemon
 
     async def wait_leader(self, timeout):
@@ -173,14 +177,7 @@
         except UpstreamBusy:
             return self.keep_busy(target)
         except UpstreamError as exc:
-            self.log(
-                PART,
-                "no proof",
-                group=self.group.name,
-                upstream=target,
-                connection=connection,
-                error=str(exc),
-            )
+            self.note("no proof", target, connection=connection, error=str(exc))
             self.drop_conn()
             return None
         if position is None:
@@ -225,13 +222,7 @@
         try:
             self.conn = await self.dialer.dial(member, timeout=self.tuning.dial_timeout)
         except UpstreamError as exc:
-            self.log(
-                PART,
-                "dial failed",
-                group=self.group.name,
-                upstream=target,
-                error=str(exc),
-            )
+            self.note("dial failed", target, error=str(exc))
             if isinstance(exc, UpstreamRefused):
                 raise
             return False
@@ -251,13 +242,7 @@
             if upstream != self.last_leader:
                 self.floors.forget()
                 self.group.stall.forget()
-            self.log(
-                PART,
-                "found",
-                group=self.group.name,
-                upstream=upstream,
-                position=str(position),
-            )
+            self.note("found", upstream, position=str(position))
             self.leader = self.last_leader = upstream
             self.leaderless_since = None
             self.announce()
@@ -272,7 +257,7 @@
         if self.leaderless_since is None:
             self.leaderless_since = since
         if self.leader:
-            self.log(PART, "lost", group=self.group.name, upstream=self.leader)
+            self.note("lost", self.leader)
             self.leader = ""
             self.announce()
 
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -6,7 +6,7 @@
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.floors import later
 from gypsum_sessions.pooled import bring_level
-from gypsum_sessions.replies import Refusal, Reply, UpstreamError
+from gypsum_sessions.replies import Refusal, Reply, UpstreamError, UpstreamSilent
 from gypsum_sessions.router import order_for_read
 
 PART = "read"
@@ -135,7 +135,9 @@
             values=job.values, timeout=job.left(clock) or around.tuning.ping_timeout
         )
     except UpstreamError as exc:
-        item.failed(clock(), around.tuning)
+        if not isinstance(exc, UpstreamSilent):
+            # Silence here is the wait for one of our own connections.
+            item.failed(clock(), around.tuning)
         return Attempt(upstream=item.id, reply=None, detail=str(exc))
     try:
         reply = await ask_read(group, job, item, pooled)
--- a/packages/sessions/gypsum_sessions/session.py
+++ b/packages/sessions/gypsum_sessions/session.py
@@ -191,7 +191,8 @@
                 self.own_floor = later(self.own_floor, reply.position)
             return self.outside(reply)
         reply = await run_read(group, job)
-        self.leftovers |= job.leftovers
+        still_running = self.leftovers | job.leftovers
+        self.leftovers = {task for task in still_running if not task.done()}
         return self.outside(reply)
 
     async def run_inside(self, group, job):
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -13,6 +13,7 @@
     Reply,
     SessionState,
     UpstreamError,
+    UpstreamLost,
 )
 from gypsum_sessions.statements import BEGIN_READING, BEGIN_WRITING
 from gypsum_sessions.writes import NotSent, level, take_live, unconfirmed
@@ -185,7 +186,8 @@
             wrote=tx.wrote,
             error=str(exc),
         )
-        if not tx.wrote:
+        not_sent = isinstance(exc, UpstreamLost) and not exc.sent
+        if not_sent or not tx.wrote:
             return aborted(str(exc))
         return Reply(refusal=Refusal.IN_DOUBT, detail=f"may be committed, {exc}")
     tx.pooled.in_transaction = reply.state is not SessionState.IDLE
--- a/tests/sessions/test_outcomes.py
+++ b/tests/sessions/test_outcomes.py
@@ -130,3 +130,24 @@
         assert all(item.pool.in_use == 0 for item in group.upstreams.values())
 
     run(main())
+
+
+def test_a_commit_that_never_left_is_aborted_not_in_doubt():
+    """Symptom: a caller has to find out by itself whether a transaction is kept.
+
+    Sequence: the upstream crashes while a transaction rests, then COMMIT comes. Cause:
+    any failure of COMMIT counted as one after sending.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        caller = rig.caller("own")
+        await caller.send("BEGIN")
+        await caller.send("WRITE a 1")
+        caller.session.tx.pooled.conn.close()
+        reply = await caller.send("COMMIT")
+        assert reply.refusal is Refusal.ABORTED
+        assert rig.group.commits == 0
+
+    run(main())
