--- a/bench/days.py
+++ b/bench/days.py
@@ -1,8 +1,8 @@
 """Tables of the days that were played, from the journal of the users' bench.
 
-`python -m bench.days [HEAD ...]` prints, for entries whose source begins with one of the
-given commits (all if none is given), worth and losses of each standard day, and for each
-kind of trouble how many days had it and how many broke a rule.
+`python -m bench.days [HEAD ...]` prints, for entries whose source begins with one of
+the given commits (all if none is given), worth and losses of each standard day, and for
+each kind of trouble how many days had it and how many broke a rule.
 """
 
 import json
@@ -12,6 +12,16 @@
 
 JOURNAL = Path(__file__).resolve().parent.parent / "journal"
 STANDARD = "score"
+WORTH_COLUMNS = (
+    "site",
+    "day",
+    "worth",
+    "served",
+    "whole day",
+    "worst windows",
+    "worst kind",
+    "prices",
+)
 
 
 def read_days(heads):
@@ -29,9 +39,8 @@
     for entry, day in days:
         if entry["cmd"] == STANDARD:
             newest[entry["site"], day["name"]] = day
-    columns = ["site", "day", "worth", "served", "whole-day", "worst-windows", "worst-kind", "prices"]
-    yield f"| {' | '.join(columns)} |"
-    yield "|---" * len(columns) + "|"
+    yield f"| {' | '.join(WORTH_COLUMNS)} |"
+    yield "|---" * len(WORTH_COLUMNS) + "|"
     for (site, name), day in sorted(newest.items()):
         parts = {part: earned for part, _, earned in day["parts"]}
         prices = sum(price for _, _, price in day["prices"])
