A commit is proved by replicas that stay

Ruled out: the takeover (all members that were left had been paused), late orders. Change: the word of a replica that leaves does not count while one stays.

--- a/packages/sessions/gypsum_sessions/confirm.py
+++ b/packages/sessions/gypsum_sessions/confirm.py
@@ -78,14 +78,21 @@
 
 
 def known_replicas(group, leader):
-    """Replicas that were listed before any takeover that may be under way began."""
+    """Replicas whose word counts: known to any takeover under way, and staying.
+
+    Known are those listed before a takeover that may be under way began. The log of
+    one that leaves goes with it: a commit that only it has is lost with the primary.
+    Where all leave, their word is better than none.
+    """
     tuning = group.around.tuning
     listed_before = group.takeover_began() - tuning.settle_margin
-    return [
+    known = [
         item
         for item in group.upstreams.values()
         if item.id != leader and item.member.listed_since <= listed_before
     ]
+    staying = [item for item in known if item.member.stays]
+    return staying or known
 
 
 async def gather_evidence(group, replicas, question):
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -150,7 +150,7 @@
             slots=member.slots,
             leads=item.id == self.watch.leader,
             far=member.domain != self.around.domain,
-            leaving=member.leaving or member.missing_since is not None,
+            leaving=not member.stays,
             avoided=now < item.avoid_until,
             lagging=now < item.lagging_until,
             full=item.pool.in_use >= item.pool.limit,
--- a/packages/sessions/gypsum_sessions/replication.py
+++ b/packages/sessions/gypsum_sessions/replication.py
@@ -78,7 +78,7 @@
         return [
             Paused(
                 upstream=item.id,
-                leaving=item.member.leaving or item.member.missing_since is not None,
+                leaving=not item.member.stays,
                 held_before=before.held_term > 0,
                 status=status,
             )
--- a/packages/sessions/gypsum_sessions/roster.py
+++ b/packages/sessions/gypsum_sessions/roster.py
@@ -22,6 +22,11 @@
     leaving_since: float | None = None
     missing_since: float | None = None
 
+    @property
+    def stays(self):
+        """Tell whether it is listed and has not said that it leaves."""
+        return not self.leaving and self.missing_since is None
+
 
 class Roster:
     """All known upstreams."""
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -135,7 +135,7 @@
         return [
             member.id
             for member in self.group.members()
-            if member.id != leader and not member.leaving and not member.missing_since
+            if member.id != leader and member.stays
         ]
 
     # One attempt
--- a/tests/sessions/test_confirm.py
+++ b/tests/sessions/test_confirm.py
@@ -1,6 +1,7 @@
 """Commits are passed on only where a takeover would find them."""
 
 import asyncio
+from dataclasses import replace
 
 from gypsum_sessions.replies import Refusal
 from tests.sessions.fakegroup import FakeMember
@@ -69,3 +70,26 @@
             assert (await caller.send(f"WRITE a {number}")).ok
 
     run(main())
+
+
+def test_a_commit_that_only_a_leaving_replica_has_is_in_doubt():
+    """Symptom: an acknowledged commit is missing after a promotion.
+
+    Sequence: one replica hears nothing, another is leaving; commits are acknowledged
+    through the one that leaves; it goes, the primary crashes, the first is promoted.
+    Cause: the log of a replica that leaves goes with it, and its word was taken.
+    """
+
+    async def main():
+        rig = await settled_rig()
+        rig.group["u2"].deaf = True
+        rig.proxy.take_members(
+            [
+                replace(member, leaving=True) if member.id == "u3" else member
+                for member in rig.group.listing()
+            ]
+        )
+        reply = await rig.caller("own").send("WRITE a 1")
+        assert reply.refusal is Refusal.IN_DOUBT
+
+    run(main())
