--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -248,3 +248,43 @@
         assert orders == [("g", "u", 1), ("g", "u", 2)]
 
     with_store(main)
+
+
+def test_after_a_failure_the_store_is_asked_with_short_waits():
+    """Symptom: a configuration is in force seconds later than it has to be.
+
+    Sequence: the store is silent for seconds, a new watch is opened meanwhile and
+    swallowed, the store comes back. Cause: the watch is waited for to its end.
+    """
+
+    class SilentStore:
+        """Fails once, then answers; keeps the waits it was asked for."""
+
+        def __init__(self):
+            self.waits = []
+
+        async def watch(self, kind, revision, *, wait_ms):
+            """One watch."""
+            self.waits.append(wait_ms)
+            if len(self.waits) == 1:
+                raise StoreError("silent", step="watch", peer="store")
+            return [], revision
+
+    async def main():
+        store = SilentStore()
+        proxy = ProxyDouble()
+        feed = Feed(
+            store=store,
+            kind="config",
+            take_all=None,
+            take_change=None,
+            log=proxy.log,
+        )
+        feed.revision = 1
+        task = asyncio.create_task(feed.run())
+        await until(lambda: len(store.waits) >= 3)
+        task.cancel()
+        assert store.waits[0] == store.waits[2] == store_module.WATCH_MS
+        assert store.waits[1] == store_module.SHORT_WATCH_MS
+
+    asyncio.run(main())
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -473,3 +473,29 @@
         assert rig.group["u1"].runs == runs
 
     run(main())
+
+
+def test_a_daemon_with_an_old_list_deposes_nobody():
+    """Symptom: acknowledged commits of a healthy new primary are lost.
+
+    Sequence: a daemon is cut off; meanwhile the primary is replaced by a member that
+    joined; the daemon comes back, finds no leader among the members that it knows, and
+    takes the lease. Cause: it chose among its old list.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        old_view = rig.group.listing()
+        rig.group.add(1)
+        rig.group["u4"].log = list(rig.group["u1"].log)
+        rig.group.promote("u4")
+        rig.group["u1"].crash()
+        await asyncio.sleep(5.0)
+        late = rig.make_proxy("late", ["late"], rig.proxy.tuning, 1)
+        late.take_members([item for item in old_view if item.id != "u4"])
+        await asyncio.sleep(4.0)
+        assert rig.promoter.orders == []
+        assert late.groups["db"].watch.leader == "u4"
+
+    run(main())
