All commits that waited through a standstill are in doubt

Change: a write's own waiting time counts as standstill. Ruled out: the takeover (all named members paused).

--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -172,7 +172,7 @@
     number = group.stall.begin(asked_at) if tx.wrote else 0
     try:
         reply = await ask_until_run(group, tx, job)
-        stalled = group.stall.lasting(group.around.clock())
+        stalled = group.stall.seen_by(asked_at, group.around.clock())
         if number:
             group.stall.end(number, group.around.clock())
     except UpstreamError as exc:
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -75,7 +75,7 @@
         except UpstreamError as exc:
             group.watch.doubt(item.id)
             return lost_write(group, job, item, exc)
-        stalled = group.stall.lasting(clock())
+        stalled = group.stall.seen_by(asked_at, clock())
         group.stall.end(number, clock())
         if reply.ok:
             item.answered(clock() - asked_at, reply.position, around.tuning)
--- a/tests/sessions/test_confirm.py
+++ b/tests/sessions/test_confirm.py
@@ -93,3 +93,30 @@
         assert reply.refusal is Refusal.IN_DOUBT
 
     run(main())
+
+
+def test_all_commits_that_waited_through_a_standstill_are_in_doubt():
+    """Symptom: of commits acknowledged together one is in doubt, the others are lost.
+
+    Sequence: as above, but several wait when the unknown member joins, and no replica
+    can be asked. Cause: the first answer ended the standstill for all of them.
+    """
+
+    async def main():
+        rig = await settled_rig()
+        rig.group["u1"].cut_from.update({"u2", "u3"})
+        rig.proxy.around.dialer.dialer.cut.update({"u2", "u3"})
+        for name in ("u2", "u3"):
+            for conn in list(rig.group[name].conns):
+                conn.silent = True
+        callers = [rig.caller("own") for _ in range(2)]
+        writing = [
+            asyncio.create_task(caller.send(f"WRITE a{number} 1"))
+            for number, caller in enumerate(callers)
+        ]
+        await asyncio.sleep(0.7)
+        rig.group.members.append(FakeMember(id="u4", group=rig.group))
+        replies = await asyncio.gather(*writing)
+        assert [reply.refusal for reply in replies] == [Refusal.IN_DOUBT] * 2
+
+    run(main())
