Upstreams by incarnation, entries checked on reading, settings that change

Cause: upstreams may now start again under their name, empty; members, pools, confirmations and records were kept by that name. Entries may come from other writers: a field of another type ended the reading of the whole list. SIGHUP only said that settings are read at the start.

Change: a member's id names one incarnation (name and the time of its start); an entry that restarted under its old revision counts as joined when it changed; a member that is gone is not promoted by its name. Entries are validated into a typed value; unreadable items, parts and bytes hide nothing else. An entry that turns unusable counts as vanished, with the usual grace. Settings: bounds and the addresses of store and promotions change in a running process, the rest is named in the log.

--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -13,13 +13,14 @@
 from gypsum_sessions.upstreams import Upstream
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Surroundings:
     """What all groups of a daemon share.
 
     `domain` is this daemon's failure domain; `daemons` tells how many daemons share
     the upstreams' connections; `drain_seconds` is how long an upstream that leaves
-    may still be sent work; `started_at` is when this daemon started.
+    may still be sent work, which new settings may change; `started_at` is when this
+    daemon started.
     """
 
     clock: Clock
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -152,6 +152,9 @@
     def take_member(self, member):
         """Take in one changed upstream."""
         kept = self.roster.seen(member)
+        if kept is None:
+            self.log(PART, "entry of an earlier start ignored", upstream=member.id)
+            return
         self.log(
             PART,
             "upstream listed",
@@ -174,10 +177,10 @@
         self.roster.recall(members)
         self.refresh_members(group)
 
-    def drop_member(self, upstream):
-        """An upstream's entry vanished from the list."""
-        self.log(PART, "upstream not listed any more", upstream=upstream)
-        self.roster.gone(upstream)
+    def drop_member(self, name):
+        """An upstream's entry vanished from the list, or became unusable."""
+        self.log(PART, "upstream not listed any more", upstream=name)
+        self.roster.gone(name)
         for name in self.groups:
             self.refresh_members(name)
 
--- a/packages/sessions/gypsum_sessions/roster.py
+++ b/packages/sessions/gypsum_sessions/roster.py
@@ -10,8 +10,14 @@
 
     `joined` is the store's revision at which its entry came to be: it orders members
     and leases. An entry that was lost and is back is a new one: a takeover that read
-    the list in between has not seen it. `missing_since` and `leaving_since` are on the
-    daemon's clock, None if it is neither.
+    the list in between has not seen it. `changed` is the revision of the entry's last
+    change. `missing_since` and `leaving_since` are on the daemon's clock, None if it is
+    neither.
+
+    `id` names one incarnation: an upstream that starts again holds nothing of before,
+    so whatever is kept by id (connections, pauses, what it has confirmed) must not
+    carry over. `name` is what the upstream and the platform call it, the same for all
+    its incarnations, `born` the Unix millisecond of its start, 0 if it does not say.
     """
 
     id: str
@@ -22,15 +28,33 @@
     leads: bool = False
     leaving: bool = False
     joined: int = 0
+    changed: int = 0
+    born: int = 0
+    name: str = ""
     leaving_since: float | None = None
     missing_since: float | None = None
 
+    @property
+    def called(self):
+        """What the upstream and the platform call it."""
+        return self.name or self.id
+
     @property
     def stays(self):
         """Tell whether it is listed and has not said that it leaves."""
         return not self.leaving and self.missing_since is None
 
 
+def restarted(member):
+    """A member that started again under an entry that may be older than its start.
+
+    What goes wrong with the entry's own age: a takeover that was under way has paused
+    what ran before; the new process, which nothing pauses, would count as known to it
+    and confirm commits that the takeover then cuts off.
+    """
+    return replace(member, joined=max(member.joined, member.changed))
+
+
 class Roster:
     """All known upstreams."""
 
@@ -41,8 +65,20 @@
         self.looks = Counter()
 
     def seen(self, member):
-        """Take in an entry of the list; returns it as it is kept."""
+        """Take in an entry of the list; returns it as it is kept.
+
+        None for an entry of an incarnation that another has replaced already.
+        """
+        other = self.other_incarnation(member)
+        if other is not None:
+            if other.born > member.born:
+                return None
+            del self.members[other.id]
+            member = restarted(member)
         known = self.members.get(member.id)
+        if known is not None and known.changed and known.joined > member.joined:
+            # It restarted under its entry, which is older than this incarnation.
+            member = replace(member, joined=known.joined)
         since = known.leaving_since if known else None
         if member.leaving and since is None:
             since = self.clock()
@@ -56,23 +92,34 @@
     def recall(self, members):
         """Take in members on record that are not listed: missing, for their grace."""
         for member in members:
-            if member.id not in self.members:
+            if member.id in self.members:
+                continue
+            other = self.other_incarnation(member)
+            if other is None:
                 self.members[member.id] = replace(member, missing_since=self.clock())
+            elif other.born > member.born:
+                self.members[other.id] = restarted(other)
+
+    def other_incarnation(self, member):
+        """The known member of the same name that started at another time, or None."""
+        for known in self.members.values():
+            if known.called == member.called and known.id != member.id:
+                return known
+        return None
 
-    def gone(self, upstream):
+    def gone(self, name):
         """An entry vanished: the upstream left, or the store lost its lease."""
-        known = self.members.get(upstream)
-        if known is None or known.missing_since is not None:
-            return
-        self.members[upstream] = replace(known, missing_since=self.clock())
+        for known in list(self.members.values()):
+            if known.called == name and known.missing_since is None:
+                self.members[known.id] = replace(known, missing_since=self.clock())
 
     def replace_all(self, members):
         """Take in a whole list: what it lacks is missing."""
-        listed = {member.id for member in members}
+        listed = {member.called for member in members}
         for member in members:
             self.seen(member)
-        for upstream in set(self.members) - listed:
-            self.gone(upstream)
+        for name in {member.called for member in self.members.values()} - listed:
+            self.gone(name)
 
     def expire(self):
         """One look: drop members that were missing in so many; returns them.
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -273,9 +273,7 @@
             token=self.lease.token,
             received={item.upstream: str(item.status.received) for item in paused},
         )
-        outcome = await self.promoter.promote(
-            self.group.name, best, self.daemon, self.lease.token
-        )
+        outcome = await self.order(best)
         self.log("promotion ordered", upstream=best, outcome=str(outcome))
         self.ordered = best if outcome is PromoteOutcome.UNANSWERED else ""
         self.note_outcome(best, outcome)
@@ -292,6 +290,19 @@
         # The token is spent: the order may still be carried out, or was refused.
         return not await self.take_lease("again")
 
+    async def order(self, upstream):
+        """Order that a member leads; NOT_DONE if it is not known any more.
+
+        What goes wrong without the look: it started again meanwhile, empty, and the
+        platform, which knows it by its name alone, promotes the empty one.
+        """
+        member = self.group.member(upstream)
+        if member is None:
+            return PromoteOutcome.NOT_DONE
+        return await self.promoter.promote(
+            self.group.name, member.called, self.daemon, self.lease.token
+        )
+
     def note_outcome(self, upstream, outcome):
         """Remember orders that may still be carried out.
 
@@ -381,9 +392,7 @@
         leader = self.group.watch.leader
         if not leader or not await self.take_lease(Reason.RESUME):
             return
-        outcome = await self.promoter.promote(
-            self.group.name, leader, self.daemon, self.lease.token
-        )
+        outcome = await self.order(leader)
         self.log("primary confirmed", upstream=leader, outcome=str(outcome))
         self.note_outcome(leader, outcome)
         if outcome is not PromoteOutcome.ACCEPTED:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -1,9 +1,12 @@
 """The operator's configuration and the upstreams' entries, decoded."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec import ValidationError
 
 from gypsum_platform.entries import read_catalog, read_member
-from gypsum_platform.store import StoredObject
+from gypsum_platform.store import StoredObject, read_change, read_object
 from gypsum_sessions.catalog import ReadRule
 
 CONFIG = {
@@ -55,17 +58,101 @@
         read_catalog({key: value for key, value in CONFIG.items() if key != name})
 
 
+GOOD = {
+    "service": "group-1",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "configVersion": "v1",
+    "capacity": 5,
+    "state": "draining",
+    "coldRemainingMs": 0,
+    "dbRole": "primary",
+    "sequence": 4,
+}
+NEEDED = ["service", "address", "zone", "capacity", "state", "dbRole"]
+
+
+def entry(**changes):
+    """An entry with some fields changed."""
+    spec = {**GOOD, **changes}
+    return StoredObject(name="i-1", revision=9, created=4, spec=spec)
+
+
 def test_an_upstreams_entry_is_decoded():
-    spec = {
-        "service": "group-1",
-        "address": "10.0.0.9:8080",
-        "zone": "a",
-        "capacity": 5,
-        "state": "draining",
-        "dbRole": "primary",
-        "sequence": 4,
-    }
-    member = read_member(StoredObject(name="i-1", revision=9, created=4, spec=spec))
-    assert member.joined == 4
+    member = read_member(entry())
+    assert (member.joined, member.changed) == (4, 9)
     assert (member.id, member.slots) == ("i-1", 5)
     assert member.leads and member.leaving
+
+
+def test_an_upstream_that_starts_again_is_another_member():
+    first, second = read_member(entry(born=5)), read_member(entry(born=6))
+    assert first.id != second.id
+    assert first.called == second.called == "i-1"
+
+
+@pytest.mark.parametrize("name", NEEDED)
+def test_an_entry_that_lacks_a_field_is_unusable(name):
+    obj = entry()
+    del obj.spec[name]
+    with pytest.raises(ValidationError):
+        read_member(obj)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("capacity", True),
+        ("capacity", "5"),
+        ("capacity", float("nan")),
+        ("capacity", -1),
+        ("capacity", 0),
+        ("address", "nowhere"),
+        ("address", "10.0.0.9"),
+        ("address", "10.0.0.9:8080\r\nQUERY"),
+        ("state", "resting"),
+        ("dbRole", "witness"),
+        ("dbRole", None),
+        ("service", ""),
+        ("service", "a b"),
+        ("born", 1.5),
+        ("born", "1"),
+        ("born", True),
+        ("born", -1),
+    ],
+)
+def test_an_entry_with_a_wrong_field_is_unusable(name, value):
+    with pytest.raises(ValidationError):
+        read_member(entry(**{name: value}))
+
+
+ANYTHING = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=True)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@given(changes=st.dictionaries(st.sampled_from([*NEEDED, "born"]), ANYTHING))
+def test_whatever_is_written_an_entry_is_decoded_or_refused(changes):
+    try:
+        member = read_member(entry(**changes))
+    except ValidationError:
+        return
+    assert type(member.slots) is int and member.slots > 0
+    assert type(member.born) is int
+
+
+@given(item=ANYTHING)
+def test_whatever_is_listed_an_item_is_an_object_or_left_aside(item):
+    obj = read_object(item)
+    assert obj is None or isinstance(obj.name, str)
+    change = read_change({"object": item, "deleted": item})
+    assert change is None or isinstance(change.deleted, bool)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -16,6 +16,7 @@
     Store,
     StoredObject,
     StoreError,
+    read_json,
 )
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.group import Daemons
@@ -449,3 +450,67 @@
         assert store.waits[1] == store_module.SHORT_WATCH_MS
 
     asyncio.run(main())
+
+
+class PageStore(Store):
+    """A store whose answers are given by hand."""
+
+    def __init__(self, *pages):
+        super().__init__(address="127.0.0.1:1")
+        self.pages = list(pages)
+
+    async def call(self, step, kind, **options):
+        """The next answer."""
+        return self.pages.pop(0)
+
+
+def listed(name):
+    """An item of a list."""
+    return {"meta": {"name": name, "revision": 1}, "spec": {}}
+
+
+def test_items_that_cannot_be_read_hide_no_others():
+    """Symptom: after a strange entry no upstream is known any more.
+
+    Sequence: somebody writes an object without a name; the list is read. Cause: one
+    unreadable item ended the whole reading.
+    """
+    page = {"items": [listed("a"), {"meta": 3}, None, listed("b")], "storeRevision": 7}
+    objects, revision = asyncio.run(PageStore(page).list_objects("servers"))
+    assert ([obj.name for obj in objects], revision) == (["a", "b"], 7)
+
+
+def test_a_part_that_cannot_be_continued_is_an_error_not_an_endless_loop():
+    page = {"items": [{"meta": 3}], "storeRevision": 7, "more": True}
+    with pytest.raises(StoreError):
+        asyncio.run(PageStore(page, page).list_objects("servers"))
+
+
+@pytest.mark.parametrize("page", [{}, {"items": 3, "storeRevision": 7}, {"items": []}])
+def test_an_answer_that_is_no_list_is_an_error(page):
+    with pytest.raises(StoreError):
+        asyncio.run(PageStore(page).list_objects("servers"))
+
+
+def test_events_that_cannot_be_read_hide_no_others():
+    events = [3, {"object": listed("a"), "deleted": False}, {"object": None}]
+    page = {"events": events, "storeRevision": 8}
+    changes, revision = asyncio.run(PageStore(page).watch("servers", 7))
+    assert ([change.obj.name for change in changes], revision) == (["a"], 8)
+
+
+def test_bytes_that_are_no_text_spoil_only_their_own_value():
+    assert read_json(b'{"a": "\xff", "b": "x"}')["b"] == "x"
+
+
+def test_an_entry_that_turns_unusable_names_no_upstream_any_more():
+    proxy = ProxyDouble()
+    taker = UpstreamTaker(store=None, log=proxy.log)
+    taker.proxy = proxy
+    good = StoredObject(name="i-1", revision=1, spec=entry())
+    taker.take_change(store_module.Change(obj=good, deleted=False))
+    bad = StoredObject(name="i-1", revision=2, spec={**entry(), "capacity": "5"})
+    for _ in range(3):
+        taker.take_change(store_module.Change(obj=bad, deleted=False))
+    assert proxy.members == {}
+    assert proxy.lines.count(("store", "unusable entry")) == 1
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -70,9 +70,11 @@
     joined: int = 0
     leaving: bool = False
     lingering: int = 0
+    born: int = 1
+    changed: int = 0
 
     def __post_init__(self):
-        self.joined = self.group.next_revision()
+        self.joined = self.changed = self.group.next_revision()
 
     @property
     def leads(self):
@@ -112,6 +114,16 @@
         self.dead = False
         self.paused = 0
 
+    def restart_empty(self):
+        """End and start again at once under the same name, with nothing of before."""
+        self.crash()
+        self.restart()
+        self.log, self.applied = [], 0
+        self.born += 1
+        self.changed = self.group.next_revision()
+        if self.leads:
+            self.group.leader = None
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class FakeGroup:
@@ -152,7 +164,10 @@
         """The members as the platform lists them."""
         return [
             Member(
-                id=member.id,
+                id=member.id if member.born == 1 else f"{member.id}@{member.born}",
+                name=member.id,
+                born=member.born,
+                changed=member.changed,
                 group=self.name,
                 address=f"{member.id}:1",
                 domain="a",
@@ -464,7 +479,7 @@
     async def dial(self, member, *, timeout):
         """Open a connection."""
         self.dials += 1
-        target_member = self.group[member.id]
+        target_member = self.group[member.called]
         if target_member.replaced:
             await asyncio.sleep(0.005)
             raise UpstreamRefused(
--- /dev/null
+++ b/tests/sessions/test_incarnations.py
@@ -0,0 +1,181 @@
+"""An upstream starts again under its name, with nothing of what it held before."""
+
+import asyncio
+from dataclasses import replace
+
+from gypsum_sessions.confirm import known_replicas
+from gypsum_sessions.roster import Member, Roster
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+from tests.sessions.writers import check_nothing_lost, write_for
+
+FIRST = Member(
+    id="u@1",
+    name="u",
+    born=1,
+    group="g",
+    address="x:1",
+    domain="a",
+    slots=5,
+    joined=3,
+    changed=3,
+)
+SECOND = replace(FIRST, id="u@2", born=2, changed=9)
+
+
+def make_roster():
+    """A roster whose clock stands still."""
+    return Roster(clock=lambda: 100.0, missing_looks=10)
+
+
+def test_a_new_start_replaces_the_earlier_one_at_once():
+    """Symptom: a takeover waits for a member that no longer exists.
+
+    Sequence: a replica starts again under its name, its entry changes. Cause: the
+    earlier start stays a member of its own until its grace is over.
+    """
+    roster = make_roster()
+    roster.seen(FIRST)
+    roster.seen(SECOND)
+    assert list(roster.members) == ["u@2"]
+
+
+def test_a_new_start_under_an_old_entry_counts_as_joined_when_it_changed():
+    """Symptom: an acknowledged commit is missing after a takeover.
+
+    Sequence: a takeover takes its lease and pauses a replica, the replica starts
+    again under its entry and receives, its word confirms a commit. Cause: the entry
+    is older than the lease, so the new process counted as known to the takeover.
+    """
+    roster = make_roster()
+    roster.seen(FIRST)
+    assert roster.seen(SECOND).joined == 9
+    assert roster.seen(replace(SECOND, changed=12)).joined == 9
+
+
+def test_a_late_entry_of_an_earlier_start_is_ignored():
+    roster = make_roster()
+    roster.seen(SECOND)
+    assert roster.seen(FIRST) is None
+    assert list(roster.members) == ["u@2"]
+
+
+def test_a_start_that_is_on_record_and_over_is_not_recalled():
+    roster = make_roster()
+    roster.seen(SECOND)
+    roster.recall([FIRST])
+    assert list(roster.members) == ["u@2"]
+    assert roster.members["u@2"].joined == 9
+
+
+def test_an_entry_that_vanishes_is_missing_whatever_its_start():
+    roster = make_roster()
+    roster.seen(SECOND)
+    roster.gone("u")
+    assert roster.members["u@2"].missing_since == 100.0
+
+
+def refresh(rig):
+    """All daemons see the list as it is now."""
+    for proxy in rig.proxies:
+        proxy.take_members(rig.group.listing())
+        rig.catch_up(proxy)
+
+
+def test_nothing_that_was_kept_of_a_replica_outlives_its_start():
+    """Symptom: a read waits for a position that an empty replica is said to have.
+
+    Sequence: a replica starts again, empty, under its name. Cause: its connections,
+    its last position and its mean time were kept by name.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        assert (await rig.caller().send("WRITE a 1")).ok
+        group = rig.proxy.groups["db"]
+        before = group.upstreams["u2"]
+        rig.group["u2"].restart_empty()
+        refresh(rig)
+        assert "u2" not in group.upstreams
+        assert group.upstreams["u2@2"].pool is not before.pool
+        assert group.upstreams["u2@2"].position is None
+
+    run(main())
+
+
+def test_a_replica_that_came_back_empty_confirms_nothing_during_a_takeover():
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        lease = await rig.leases.take("db", "other", rig.leases.lease)
+        rig.proxy.board.note("db", lease)
+        rig.group["u2"].restart_empty()
+        refresh(rig)
+        known = known_replicas(rig.proxy.groups["db"], "u1")
+        assert [item.id for item in known] == ["u3"]
+
+    run(main())
+
+
+def test_a_replica_that_came_back_empty_is_not_promoted_over_a_log():
+    """Symptom: commits are lost after a promotion.
+
+    Sequence: a replica starts again, empty, and receives nothing; the primary
+    crashes. Cause: the empty log counted as good as any.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        await write_for(rig, rig.proxy, 1.0, told)
+        rig.group["u2"].restart_empty()
+        rig.group["u2"].deaf = True
+        refresh(rig)
+        rig.group["u1"].crash()
+        await asyncio.sleep(4.0)
+        assert [name for name, _ in rig.group.promotions] == ["u3"]
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_a_primary_that_came_back_empty_is_replaced_by_a_log_that_is_whole():
+    """Symptom: all that was written is gone, and reads show nothing.
+
+    Sequence: the primary starts again under its name and holds nothing. Cause: it was
+    taken for the primary that it was.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        await write_for(rig, rig.proxy, 1.0, told)
+        rig.group["u1"].restart_empty()
+        refresh(rig)
+        await asyncio.sleep(4.0)
+        assert [name for name, _ in rig.group.promotions][0] in ("u2", "u3")
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_a_member_that_started_again_is_not_promoted_by_its_name():
+    """Symptom: an empty upstream leads.
+
+    Sequence: a takeover chooses a member, which starts again before the order. Cause:
+    the order names it, and the platform knows its name only.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        takeover = rig.proxy.takeovers["db"]
+        rig.group["u2"].restart_empty()
+        refresh(rig)
+        await takeover.order("u2")
+        assert rig.promoter.orders == []
+
+    run(main())
