--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-PACKAGES := packages/core packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
+PACKAGES := packages/core packages/policy packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
 
 .PHONY: setup test lint format demo demo-platform bench fuzz matrix capacity clean
 
--- /dev/null
+++ b/packages/policy/gypsum_policy/ownership.py
@@ -0,0 +1,80 @@
+"""Which daemons hold connections to a group, how many, and whom others ask.
+
+Load pattern: more daemons than an upstream takes connections. Each daemon that opened
+its own few would leave an upstream full of idle connections, turn the last daemons away
+and hold a queue of its own before the same few slots. So a group has owners: they hold
+the connections, prove the leader and queue; all other daemons send them statements.
+
+Who owns is only a matter of efficiency. Two daemons that disagree about it may open a
+few connections more; promises rest on positions, terms and fences, not on this.
+"""
+
+from dataclasses import dataclass
+
+from xxhash import xxh64_intdigest
+
+# Up to this many daemons each hold connections of their own: a statement saves the hop
+# to an owner, and a daemon that fails harms its own callers only.
+FEW_DAEMONS = 12
+# Connections that an owner has to have to one upstream, at least: one for callers and
+# one for the proofs on which they wait.
+LEAST_CONNECTIONS = 2
+# Connections to one upstream that an owner works well with: an upstream works on three
+# to six statements at once, and transactions hold theirs while their callers pause.
+OWNER_CONNECTIONS = 8
+# Owners of a group, at least: the loss of one leaves two.
+LEAST_OWNERS = 3
+
+
+def owner_count(daemons, max_connections):
+    """How many of a number of daemons hold connections to a group's upstreams.
+
+    `max_connections` is what one upstream takes of all daemons together.
+    """
+    if daemons <= FEW_DAEMONS and may_share(daemons, max_connections):
+        return daemons
+    return min(daemons, max(LEAST_OWNERS, max_connections // OWNER_CONNECTIONS))
+
+
+def may_share(daemons, max_connections):
+    """Tell whether every daemon can have its least share, with one left over."""
+    return max_connections // (daemons + 1) >= LEAST_CONNECTIONS
+
+
+def connection_share(owners, max_connections):
+    """Connections that one of several owners may hold to one upstream.
+
+    One share is left over, for proofs of the leader and for an owner that replaces
+    another before it is gone.
+    """
+    return max(LEAST_CONNECTIONS, max_connections // (owners + 1))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerView:
+    """An owner of a group as one daemon sees it.
+
+    `place` is its place in the group's order of daemons, `avoided` that it did not
+    answer a moment ago or said that it leaves.
+    """
+
+    name: str
+    place: int
+    far: bool
+    avoided: bool
+
+
+def owners_to_ask(views, *, owners, daemon):
+    """Names of those that a daemon asks, in turn.
+
+    Owners come before the daemons that would own if they failed, near ones before far
+    ones, and each daemon starts at another of equal ones, so that the owners of a
+    failure domain share its callers. Those that did not answer are the last resort.
+    """
+
+    def rank(view):
+        turn = xxh64_intdigest(f"{daemon}/{view.name}".encode())
+        stands_in = view.place >= owners
+        return (view.avoided, stands_in, view.name != daemon, view.far, turn)
+
+    return [view.name for view in sorted(views, key=rank)]
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/access.py
@@ -0,0 +1,62 @@
+"""How a session's statements reach a group: here, or at an owner of it."""
+
+from typing import Protocol
+
+from gypsum_sessions.catalog import Route
+from gypsum_sessions.jobs import Job
+from gypsum_sessions.reads import run_read
+from gypsum_sessions.replies import Reply
+from gypsum_sessions.transactions import Transaction
+from gypsum_sessions.writes import run_write
+
+
+class OpenTransaction(Protocol):
+    """One transaction of a session, wherever its connection is."""
+
+    route: Route
+    arrived: float
+    wrote: bool
+    values_set: bool
+
+    async def run(self, job: Job) -> Reply:
+        """Run a statement; anything but success has rolled the transaction back."""
+
+    async def commit(self, job: Job) -> Reply:
+        """COMMIT; the reply says whether it is kept, is not, or is in doubt."""
+
+    async def close(self) -> None:
+        """Roll back if anything is open."""
+
+
+class GroupAccess(Protocol):
+    """Runs a session's statements in one group."""
+
+    async def read(self, job: Job) -> Reply:
+        """Run a single read."""
+
+    async def write(self, job: Job) -> Reply:
+        """Run a single write, at most once."""
+
+    def begin(self, *, route: Route, writes: bool, arrived: float) -> OpenTransaction:
+        """A transaction that opens with its first statement."""
+
+
+class LocalAccess:
+    """A group whose connections this daemon holds."""
+
+    def __init__(self, *, group):
+        self.group = group
+
+    async def read(self, job):
+        """Run a read."""
+        return await run_read(self.group, job)
+
+    async def write(self, job):
+        """Run a write."""
+        return await run_write(self.group, job)
+
+    def begin(self, *, route, writes, arrived):
+        """A transaction over our own connections."""
+        return Transaction(
+            group=self.group, route=route, writes=writes, arrived=arrived
+        )
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/asks.py
@@ -0,0 +1,80 @@
+"""Messages between a daemon and the owner of a group, as CBOR."""
+
+import cbor2
+from msgspec import Struct, ValidationError, convert, to_builtins
+
+from gypsum_core.records import Position
+from gypsum_sessions.catalog import Route
+from gypsum_sessions.replies import Reply
+from gypsum_sessions.statements import Statement
+
+
+class MessageError(ValueError):
+    """Bytes that are no message between daemons."""
+
+
+class Ask(Struct, frozen=True, kw_only=True, array_like=True, tag="ask"):
+    """Run a caller's statement.
+
+    `call` numbers the question on its link. `left` is the time in seconds that the
+    statement still has: clocks of two instances can't be compared. `transaction` is
+    the number of the transaction on this link that it belongs to, 0 outside; its
+    `first` statement opens it, for writing if `opens_writing`. `values_set`: the caller
+    has set a value inside it, which its end undoes.
+    """
+
+    call: int
+    request: str
+    statement: Statement
+    route: Route
+    left: float
+    values: dict[str, str]
+    prepared: tuple[tuple[str, bool], ...] = ()
+    own_floor: Position | None = None
+    transaction: int = 0
+    first: bool = False
+    opens_writing: bool = False
+    values_set: bool = False
+
+
+class Answer(Struct, frozen=True, kw_only=True, array_like=True, tag="answer"):
+    """The whole reply to one question.
+
+    `role` tells whether the leader or a replica ran it. `unable`: nothing ran, and the
+    fault is this owner's, so that another one may well be able.
+    """
+
+    call: int
+    reply: Reply
+    tried: tuple[str, ...] = ()
+    served_by: str = ""
+    role: str = ""
+    floor: Position | None = None
+    floor_age: float = 0.0
+    unable: bool = False
+
+
+class EndTransaction(Struct, frozen=True, kw_only=True, array_like=True, tag="end"):
+    """Roll back a transaction of this link if it is open."""
+
+    transaction: int
+
+
+class Leaving(Struct, frozen=True, kw_only=True, array_like=True, tag="leaving"):
+    """The owner drains: ask another one from now on."""
+
+
+Message = Ask | Answer | EndTransaction | Leaving
+
+
+def encode(message):
+    """A message as bytes."""
+    return cbor2.dumps(to_builtins(message))
+
+
+def decode(data):
+    """A message from bytes; raises MessageError for what is none."""
+    try:
+        return convert(cbor2.loads(data), type=Message)
+    except (cbor2.CBORDecodeError, ValidationError, ValueError, TypeError) as exc:
+        raise MessageError(f"no message: {exc}") from exc
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/daemons.py
@@ -0,0 +1,89 @@
+"""The daemons known to run, and which of them own which group."""
+
+from dataclasses import dataclass
+
+from gypsum_core.placement import Placement
+from gypsum_policy.ownership import connection_share, owner_count
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DaemonEntry:
+    """A daemon as it is registered: `link` is where others reach it, `host:port`.
+
+    `revision` is the store's revision of its entry, 0 for one that is not there.
+    """
+
+    id: str
+    domain: str
+    link: str = ""
+    revision: int = 0
+
+
+class Daemons:
+    """All known daemons, this one included, in one order for each group.
+
+    `listed` says that the list has been read: before, this daemon would take itself for
+    the owner of everything.
+    """
+
+    def __init__(self, *, own):
+        self.own = own
+        self.listed = False
+        self.known = {own.id: own}
+        self.placement = Placement()
+        self.found = {}
+        self.refresh()
+
+    def refresh(self):
+        """Order the daemons anew."""
+        self.placement.update(self.known.values())
+        self.found.clear()
+
+    def take_all(self, entries):
+        """Take in the whole list."""
+        self.listed = True
+        self.known = {entry.id: entry for entry in entries}
+        self.known.setdefault(self.own.id, self.own)
+        self.refresh()
+
+    def add(self, entry):
+        """A daemon registered, or changed its entry."""
+        self.known[entry.id] = entry
+        self.refresh()
+
+    def discard(self, name):
+        """A daemon's entry was removed; our own place is kept."""
+        if name != self.own.id and self.known.pop(name, None) is not None:
+            self.refresh()
+
+    def get(self, name):
+        """A daemon's entry, or None."""
+        return self.known.get(name)
+
+    def order(self, group, length):
+        """The first daemons in a group's order."""
+        return self.placement.order(group, min(length, len(self.known)))
+
+    def owner_count(self, spec):
+        """How many daemons own a group."""
+        return owner_count(len(self.known), spec.max_connections)
+
+    def owners(self, spec):
+        """The daemons that own a group, in its order; kept until the list changes."""
+        key = (spec.name, spec.max_connections)
+        if key not in self.found:
+            self.found[key] = self.order(spec.name, self.owner_count(spec))
+        return self.found[key]
+
+    def owns(self, spec):
+        """Tell whether this daemon owns a group."""
+        return self.own.id in self.owners(spec)
+
+    def place(self, spec):
+        """This daemon's place among a group's owners; after them if it is none."""
+        owners = self.owners(spec)
+        return owners.index(self.own.id) if self.own.id in owners else len(owners)
+
+    def connection_share(self, spec):
+        """Connections that each owner of a group may hold to one upstream."""
+        return connection_share(self.owner_count(spec), spec.max_connections)
--- a/packages/sessions/gypsum_sessions/drain.py
+++ b/packages/sessions/gypsum_sessions/drain.py
@@ -40,7 +40,9 @@
     """Refuse readiness, let work end, close idle sessions, end."""
     clock, began = proxy.clock, proxy.clock()
     proxy.draining = True
-    proxy.log(PART, "started", callers=len(proxy.callers))
+    proxy.log(PART, "started", callers=len(proxy.callers), links=len(proxy.desks))
+    for desk in list(proxy.desks):
+        desk.tell_leaving()
     await asyncio.sleep(plan.notice)
     listening = True
     while clock() - began < plan.total:
@@ -51,7 +53,7 @@
         if passed >= plan.sessions:
             await end_transactions(proxy)
         close_idle(proxy, share_to_close(plan, passed))
-        if not listening and not proxy.callers:
+        if not listening and not proxy.callers and not owners_work(proxy):
             break
         await asyncio.sleep(LOOK_EVERY)
     proxy.log(PART, "ended", callers=len(proxy.callers))
@@ -86,3 +88,10 @@
         if waiting and session.state is SessionState.IN_TRANSACTION:
             proxy.log(PART, "transaction ended", session=session.number)
             await session.abort_open()
+    for desk in list(proxy.desks):
+        desk.end_waiting()
+
+
+def owners_work(proxy):
+    """Tell whether other daemons' statements are worked on here."""
+    return any(desk.busy for desk in proxy.desks)
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
+from gypsum_policy.ownership import LEAST_CONNECTIONS
+from gypsum_policy.routing import Candidate
 from gypsum_sessions.borders import Clock, Dialer, EventLog
+from gypsum_sessions.daemons import Daemons
 from gypsum_sessions.floors import Floors
+from gypsum_sessions.jobs import ServedBy
 from gypsum_sessions.leader import LeaderWatch
 from gypsum_sessions.leaseboard import LeaseBoard
 from gypsum_sessions.pool import ConnPool
-from gypsum_sessions.router import Candidate
 from gypsum_sessions.stall import WriteStall
 from gypsum_sessions.tuning import SessionTuning
 from gypsum_sessions.upstreams import Upstream
@@ -28,19 +31,12 @@
     tuning: SessionTuning
     log: EventLog
     domain: str
-    daemons: "Daemons"
+    daemons: Daemons
     board: LeaseBoard
     drain_seconds: float
     started_at: float
 
 
-class Daemons:
-    """The daemons known to run, this one included."""
-
-    def __init__(self, *, names):
-        self.names = set(names)
-
-
 class Group:
     """Upstreams, floors and the leader of one group."""
 
@@ -120,19 +116,23 @@
             item.pool.trim()
 
     def connection_limit(self):
-        """This daemon's share of an upstream's connections.
+        """This daemon's share of an upstream's connections, as one of the owners.
 
-        One share is left over, for the proofs of the leader and for a daemon that
-        replaces another before it is gone. After its start a daemon is content with
-        the least. What goes wrong without it: all daemons come back at once while the
-        upstreams still count the connections that were lost; the first take what is
-        left for their callers, and the last can't ask who leads.
+        After its start a daemon is content with the least. What goes wrong without it:
+        all daemons come back at once while the upstreams still count the connections
+        that were lost; the first take what is left for their callers, and the last
+        can't ask who leads.
         """
         since_start = self.around.clock() - self.around.started_at
         if since_start < self.around.tuning.modest_for:
-            return self.around.tuning.least_connections
-        share = self.spec.max_connections // (len(self.around.daemons.names) + 1)
-        return max(self.around.tuning.least_connections, share)
+            return LEAST_CONNECTIONS
+        return self.around.daemons.connection_share(self.spec)
+
+    def role_of(self, upstream):
+        """Whether the leader or a replica answered; None for nobody."""
+        if not upstream:
+            return None
+        return ServedBy.LEADER if upstream == self.watch.leader else ServedBy.REPLICA
 
     def presumed_leader(self):
         """The member that leads or led last; empty if nobody can say.
--- a/packages/sessions/gypsum_sessions/jobs.py
+++ b/packages/sessions/gypsum_sessions/jobs.py
@@ -22,7 +22,8 @@
     `arrived` and `deadline` are on the daemon's clock. `prepared` lists the
     (shape, writes) that the statement needs at its upstream. `own_floor` is the
     session's last commit. `leftovers` are attempts still running after the reply.
-    `tried` are the upstreams asked, in order, `served_by` the one that answered.
+    `tried` are the upstreams asked, in order, `served_by` the one that answered, `role`
+    whether it led then.
     """
 
     request: str
@@ -36,6 +37,7 @@
     leftovers: set = field(default_factory=set)
     tried: list[str] = field(default_factory=list)
     served_by: str = ""
+    role: str = ""
     floor: Position | None = None
     floor_age: float = 0.0
 
--- a/packages/sessions/gypsum_sessions/measures.py
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -42,13 +42,13 @@
         )
 
     def observe(self, route, statement, reply, seconds, served_by):
-        """Count one statement; `served_by` is None if the proxy answered itself."""
+        """Count one statement; `served_by` is empty if the proxy answered itself."""
         labels = {"database": route.database, "rule": str(route.rule)}
         if not reply.ok:
             self.refusals.inc({**labels, "refusal": str(reply.refusal)})
             return
         self.seconds.observe({**labels, "statement": str(statement.kind)}, seconds)
-        if served_by is not None and statement.reads:
+        if served_by and statement.reads:
             self.reads.inc({**labels, "by": str(served_by)})
 
     def take(self, proxy, dropped_lines):
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/ownerdesk.py
@@ -0,0 +1,215 @@
+"""Statements that other daemons send to this one as an owner of their group.
+
+All that a link has is tied to it: when it breaks, its reads are ended and its
+transactions rolled back, for the other daemon has told its callers so.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from gypsum_sessions.asks import (
+    Answer,
+    Ask,
+    EndTransaction,
+    Leaving,
+    MessageError,
+    decode,
+    encode,
+)
+from gypsum_sessions.jobs import Job
+from gypsum_sessions.reads import run_read
+from gypsum_sessions.replies import Refusal, Reply
+from gypsum_sessions.transactions import Transaction, aborted
+from gypsum_sessions.writes import run_write
+
+PART = "owner"
+# Statements of one link that are worked on at once: more than all slots of a group.
+MOST_ASKS = 300
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Held:
+    """A transaction of another daemon's caller; one statement of it runs at a time."""
+
+    transaction: Transaction
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    ended: bool = False
+
+
+class OwnerDesk:
+    """One other daemon's statements, over one link."""
+
+    def __init__(self, *, proxy, peer):
+        self.proxy = proxy
+        self.peer = peer
+        self.frames = None
+        self.held = {}
+        self.tasks = set()
+        self.reads = set()
+        self.closed = False
+
+    @property
+    def busy(self):
+        """Tell whether statements run or transactions are open."""
+        return bool(self.tasks or self.held)
+
+    # FrameReceiver
+
+    def frame(self, data):
+        """A message came."""
+        try:
+            message = decode(data)
+        except MessageError as exc:
+            self.proxy.log(PART, "unreadable message", peer=self.peer, error=str(exc))
+            self.frames.close()
+            self.lost(str(exc))
+            return
+        if isinstance(message, Ask):
+            self.take(message)
+        elif isinstance(message, EndTransaction):
+            self.spawn(self.end(message.transaction))
+
+    def lost(self, why):
+        """The link is gone: so is all that it had."""
+        if self.closed:
+            return
+        self.closed = True
+        self.proxy.desks.discard(self)
+        for task in self.reads:
+            task.cancel()
+        for number in list(self.held):
+            self.spawn(self.end(number))
+
+    # Statements
+
+    def take(self, ask):
+        """Start to work on a statement, unless there are too many."""
+        if self.closed:
+            return
+        if len(self.tasks) >= MOST_ASKS:
+            self.answer(Answer(call=ask.call, reply=refused("too many at once")))
+            return
+        task = self.spawn(self.serve(ask))
+        if not ask.transaction and not ask.statement.writes:
+            self.reads.add(task)
+            task.add_done_callback(self.reads.discard)
+
+    def spawn(self, work):
+        """Run a task of this link."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.proxy.finished)
+        return task
+
+    async def serve(self, ask):
+        """Run one statement and answer it."""
+        group = self.proxy.serve_group(ask.route.group)
+        if group is None:
+            reply = refused("the group is not known here")
+            self.answer(Answer(call=ask.call, reply=reply, unable=True))
+            return
+        job = job_of(ask, self.proxy.clock())
+        if ask.transaction:
+            reply = await self.run_inside(group, ask, job)
+        elif ask.statement.writes:
+            reply = await run_write(group, job)
+        else:
+            reply = await run_read(group, job)
+            # The other daemon cannot wait for them before the session's values change.
+            for task in job.leftovers:
+                task.cancel()
+        self.answer(
+            Answer(
+                call=ask.call,
+                reply=reply,
+                tried=tuple(job.tried),
+                served_by=job.served_by,
+                role=str(group.role_of(job.served_by) or ""),
+                floor=job.floor,
+                floor_age=job.floor_age,
+            )
+        )
+
+    async def run_inside(self, group, ask, job):
+        """Run a statement of a transaction, which its first one opens."""
+        held = self.held.get(ask.transaction)
+        if held is None:
+            if not ask.first:
+                return aborted("the transaction is not known here")
+            transaction = Transaction(
+                group=group,
+                route=ask.route,
+                writes=ask.opens_writing,
+                arrived=job.arrived,
+            )
+            held = self.held[ask.transaction] = Held(transaction=transaction)
+        async with held.lock:
+            if held.ended or self.closed:
+                return aborted("the transaction was ended")
+            held.transaction.values_set = ask.values_set
+            reply = await self.run_held(held, job)
+        if held.ended:
+            self.held.pop(ask.transaction, None)
+        return reply
+
+    async def run_held(self, held, job):
+        """Run a statement while nothing else touches its transaction."""
+        job.arrived = held.transaction.arrived
+        if job.statement.commits:
+            held.ended = True
+            return await held.transaction.commit(job)
+        reply = await held.transaction.run(job)
+        held.ended = not reply.ok
+        return reply
+
+    async def end(self, number):
+        """Roll back a transaction, after the statement that runs in it."""
+        held = self.held.get(number)
+        if held is None:
+            return
+        async with held.lock:
+            held.ended = True
+            await held.transaction.close()
+        self.held.pop(number, None)
+
+    def answer(self, answer):
+        """Send an answer, unless nobody waits for it any more."""
+        if not self.closed:
+            self.frames.send(encode(answer))
+
+    # Leaving
+
+    def tell_leaving(self):
+        """Ask the other daemon to send new work elsewhere."""
+        if not self.closed:
+            self.frames.send(encode(Leaving()))
+
+    def end_waiting(self):
+        """Roll back transactions that wait for their callers.
+
+        They stay known as ended: the next statement of one is told so.
+        """
+        for held in self.held.values():
+            if not held.lock.locked() and not held.ended:
+                held.ended = True
+                self.spawn(held.transaction.close())
+
+
+def job_of(ask, now):
+    """The job of a statement; it counts as arrived now, so no floor is too old."""
+    return Job(
+        request=ask.request,
+        statement=ask.statement,
+        route=ask.route,
+        arrived=now,
+        deadline=now + ask.left,
+        values=ask.values,
+        prepared=ask.prepared,
+        own_floor=ask.own_floor,
+    )
+
+
+def refused(detail):
+    """The reply to a statement that was not begun."""
+    return Reply(refusal=Refusal.BUSY, detail=f"not run, {detail}")
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/peers.py
@@ -0,0 +1,282 @@
+"""Links to other daemons, and what becomes of questions to one that is silent.
+
+A link is silent when a probe on it is not answered while questions wait. It is closed
+then, and all its questions are lost at once; the owner drops what it had of the link.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from gypsum_sessions.asks import Answer, Leaving, MessageError, decode, encode
+
+PART = "peers"
+# Opening a link takes three round trips between failure domains, under 10 ms.
+DIAL_TIMEOUT = 0.4
+# A daemon that could not be reached is left alone for this long, seconds, doubling.
+AVOID_FIRST = 0.1
+AVOID_MOST = 2.0
+# Probes are answered within a few milliseconds; a daemon whose share of a processor is
+# used up is silent for a tenth of a second at a time.
+SILENT_AFTER = 0.6
+PROBE_EVERY = 0.15
+# Before work that must not be repeated a link is tried that has been quiet for longer.
+QUIET_AFTER = 0.25
+
+
+class PeerLost(Exception):
+    """A daemon gave no answer; `sent` is False if it provably got no question."""
+
+    def __init__(self, message, *, step, peer, sent):
+        super().__init__(f"{step}: {peer}: {message}")
+        self.step = step
+        self.peer = peer
+        self.sent = sent
+
+
+class FrameReceiver(Protocol):
+    """Who gets what arrives on a link."""
+
+    def frame(self, data: bytes) -> None:
+        """One message came."""
+
+    def lost(self, why: str) -> None:
+        """The link is gone."""
+
+
+class FrameLink(Protocol):
+    """One open link to another daemon."""
+
+    alive: bool
+
+    def send(self, data: bytes) -> bool:
+        """Send a message in turn; False if the link takes no more."""
+
+    async def probe(self, timeout: float) -> bool:
+        """Tell whether the other end answers in time."""
+
+    def close(self) -> None:
+        """Close at once; nothing more arrives."""
+
+
+class FrameDialer(Protocol):
+    """Opens links."""
+
+    async def dial(
+        self, address: str, receiver: FrameReceiver, *, timeout: float
+    ) -> FrameLink:
+        """Open a link; raises OSError if that fails."""
+
+
+class OwnerLink:
+    """This daemon's questions to one other."""
+
+    def __init__(self, *, peer, clock):
+        self.peer = peer
+        self.clock = clock
+        self.frames = None
+        self.waiting = {}
+        self.numbers = 0
+        self.heard_at = clock()
+        self.leaving = False
+        self.gone = ""
+        self.watching = None
+
+    # FrameReceiver
+
+    def frame(self, data):
+        """An answer, or the word that the owner leaves."""
+        self.heard_at = self.clock()
+        try:
+            message = decode(data)
+        except MessageError as exc:
+            self.close(str(exc))
+            return
+        if isinstance(message, Leaving):
+            self.leaving = True
+        elif isinstance(message, Answer):
+            fut = self.waiting.pop(message.call, None)
+            if fut is not None and not fut.done():
+                fut.set_result(message)
+
+    def lost(self, why):
+        """The link is gone, and all that waits with it."""
+        self.gone = self.gone or why
+        waiting, self.waiting = self.waiting, {}
+        for fut in waiting.values():
+            if not fut.done():
+                fut.set_exception(self.loss("ask", sent=True))
+
+    # Questions
+
+    @property
+    def usable(self):
+        """Tell whether new work may go over it."""
+        return not self.gone and not self.leaving
+
+    def next_number(self):
+        """A number that no other question or transaction of this link has."""
+        self.numbers += 1
+        return self.numbers
+
+    def loss(self, step, *, sent):
+        """The error of a question on a link that is gone."""
+        return PeerLost(self.gone, step=step, peer=self.peer, sent=sent)
+
+    async def try_out(self):
+        """Make sure that the other end is there; raises PeerLost.
+
+        What goes wrong without it: something between two daemons has forgotten an idle
+        link, and a write on it is in doubt although it never arrived.
+        """
+        if self.clock() - self.heard_at < QUIET_AFTER:
+            return
+        if not self.gone and await self.frames.probe(SILENT_AFTER):
+            self.heard_at = self.clock()
+            return
+        self.close("silent")
+        raise self.loss("try", sent=False)
+
+    async def ask(self, make: Callable, *, timeout):
+        """Send the question that `make` forms for its number; raises PeerLost."""
+        if self.gone:
+            raise self.loss("ask", sent=False)
+        call = self.next_number()
+        fut = asyncio.get_running_loop().create_future()
+        self.waiting[call] = fut
+        if not self.frames.send(encode(make(call))):
+            del self.waiting[call]
+            raise PeerLost("takes no more", step="ask", peer=self.peer, sent=False)
+        if self.watching is None or self.watching.done():
+            self.watching = asyncio.create_task(self.watch_silence())
+        try:
+            async with asyncio.timeout(timeout):
+                return await fut
+        except TimeoutError:
+            raise PeerLost(
+                "no answer in time", step="ask", peer=self.peer, sent=True
+            ) from None
+        finally:
+            self.waiting.pop(call, None)
+
+    def tell(self, message):
+        """Send what needs no answer; a link that is gone needs it no more."""
+        if not self.gone:
+            self.frames.send(encode(message))
+
+    async def watch_silence(self):
+        """Close the link if it is silent while questions wait."""
+        while self.waiting and not self.gone:
+            await asyncio.sleep(PROBE_EVERY)
+            if not self.waiting or self.gone:
+                return
+            if not await self.frames.probe(SILENT_AFTER):
+                self.close("silent")
+                return
+            self.heard_at = self.clock()
+
+    def close(self, why):
+        """Give the link up."""
+        if self.frames is not None:
+            self.frames.close()
+        self.lost(why)
+
+
+@dataclass(slots=True, kw_only=True)
+class Avoidance:
+    """A daemon that could not be reached: until when and how long it is left alone."""
+
+    until: float
+    pause: float
+    since: float
+
+
+class Peers:
+    """This daemon's links to owners of groups, opened when there is work for them."""
+
+    def __init__(self, *, dialer, daemons, clock, log):
+        self.dialer = dialer
+        self.daemons = daemons
+        self.clock = clock
+        self.log = log
+        self.links = {}
+        self.dials = {}
+        self.avoidance = {}
+
+    def avoided(self, name):
+        """Tell whether others are asked before a daemon."""
+        link = self.links.get(name)
+        if link is not None and link.leaving:
+            return True
+        return name in self.avoidance
+
+    def silent_for(self, name):
+        """Seconds for which a daemon could not be reached, 0 if it could lately."""
+        found = self.avoidance.get(name)
+        return self.clock() - found.since if found else 0.0
+
+    async def link(self, name, timeout):
+        """A link to a daemon, opened if there is none; raises PeerLost."""
+        link = self.links.get(name)
+        if link is not None and link.usable:
+            return link
+        found = self.avoidance.get(name)
+        if found is not None and self.clock() < found.until:
+            raise PeerLost("no new dial yet", step="dial", peer=name, sent=False)
+        dial = self.dials.get(name)
+        if dial is None:
+            dial = self.dials[name] = asyncio.create_task(self.dial(name))
+            dial.add_done_callback(lambda task: self.dialled(name, task))
+        try:
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(dial)
+        except TimeoutError:
+            raise PeerLost("not open yet", step="dial", peer=name, sent=False) from None
+
+    async def dial(self, name):
+        """Open a link; raises PeerLost."""
+        entry = self.daemons.get(name)
+        link = OwnerLink(peer=name, clock=self.clock)
+        if entry is None or not entry.link:
+            raise PeerLost("no address", step="dial", peer=name, sent=False)
+        try:
+            link.frames = await self.dialer.dial(entry.link, link, timeout=DIAL_TIMEOUT)
+        except OSError as exc:
+            self.avoid(name)
+            raise PeerLost(str(exc), step="dial", peer=name, sent=False) from exc
+        self.links[name] = link
+        if self.avoidance.pop(name, None) is not None:
+            self.log(PART, "daemon reached again", daemon=name)
+        return link
+
+    def dialled(self, name, task):
+        """A dial ended; who waited for it has its outcome."""
+        self.dials.pop(name, None)
+        if not task.cancelled():
+            task.exception()
+
+    def avoid(self, name):
+        """Leave a daemon alone that could not be reached, longer each time."""
+        now, found = self.clock(), self.avoidance.get(name)
+        if found is None:
+            self.log(PART, "daemon not reached", daemon=name)
+            found = Avoidance(until=now, pause=AVOID_FIRST / 2, since=now)
+        pause = min(2 * found.pause, AVOID_MOST)
+        self.avoidance[name] = Avoidance(
+            until=now + pause, pause=pause, since=found.since
+        )
+
+    def forget(self, name):
+        """A daemon's entry is gone."""
+        self.avoidance.pop(name, None)
+        link = self.links.pop(name, None)
+        if link is not None:
+            link.close("not registered any more")
+
+    def close(self):
+        """Close all links."""
+        for dial in self.dials.values():
+            dial.cancel()
+        for link in self.links.values():
+            link.close("closed here")
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -2,12 +2,16 @@
 
 import asyncio
 
+from gypsum_sessions.access import LocalAccess
 from gypsum_sessions.borders import LeaseError
 from gypsum_sessions.catalog import Catalog
-from gypsum_sessions.group import Daemons, Group, Surroundings
-from gypsum_sessions.jobs import ServedBy
+from gypsum_sessions.daemons import DaemonEntry, Daemons
+from gypsum_sessions.group import Group, Surroundings
 from gypsum_sessions.leaseboard import LeaseBoard
+from gypsum_sessions.ownerdesk import OwnerDesk
+from gypsum_sessions.peers import Peers
 from gypsum_sessions.recorder import LOOK_EVERY, MemberRecorder
+from gypsum_sessions.remote import RemoteAccess
 from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
 from gypsum_sessions.roster import Roster
 from gypsum_sessions.session import Session
@@ -21,6 +25,13 @@
 BEHIND_LOOKS = 3
 # Pause before a loop that failed is started anew, seconds.
 RESTART_PAUSE = 0.5
+# A group that others own is left when nobody has asked for this long, seconds: longer
+# than an owner takes to come back after a restart.
+LEAVE_AFTER = 10.0
+# How often the process notes that it runs, and how long a gap says that it did not,
+# seconds: other daemons take a link for silent a tenth later.
+AWAKE_EVERY = 0.05
+STOOD_STILL = 0.5
 
 
 class CheckingDialer:
@@ -58,6 +69,8 @@
         tuning,
         log,
         observe,
+        links=None,
+        link_address="",
     ):
         self.name = name
         self.clock = clock
@@ -68,7 +81,8 @@
         self.promoter = promoter
         self.member_list = member_list
         self.catalog = Catalog()
-        self.daemons = Daemons(names=[name])
+        own = DaemonEntry(id=name, domain=domain, link=link_address)
+        self.daemons = Daemons(own=own)
         self.roster = Roster(
             clock=clock, missing_looks=round(tuning.missing_grace / TEND_EVERY)
         )
@@ -85,7 +99,12 @@
             daemons=self.daemons,
             board=self.board,
         )
+        self.peers = Peers(dialer=links, daemons=self.daemons, clock=clock, log=log)
+        self.desks = set()
+        self.awake_at = clock()
         self.groups = {}
+        self.group_tasks = {}
+        self.asked_at = {}
         self.takeovers = {}
         self.sessions = {}
         self.callers = set()
@@ -114,15 +133,27 @@
             routes=len(candidate.routes),
             groups=len(candidate.groups),
         )
-        for spec in candidate.groups.values():
-            self.configure_group(spec)
+        for name, group in self.groups.items():
+            group.spec = candidate.groups.get(name, group.spec)
+        self.tend_groups()
 
-    def configure_group(self, spec):
-        """Start to work with a group, or take in its new settings."""
+    # Groups that this daemon holds connections to
+
+    def tend_groups(self):
+        """Work with the groups that this daemon owns, and leave those it does not."""
+        if self.catalog.current is None or not self.daemons.listed:
+            return
+        for name, spec in self.catalog.current.groups.items():
+            if self.daemons.owns(spec):
+                self.start_group(spec)
+            elif name in self.groups and self.may_leave(name):
+                self.leave_group(name)
+
+    def start_group(self, spec):
+        """Start to work with a group, unless we do already; returns it."""
         group = self.groups.get(spec.name)
         if group is not None:
-            group.spec = spec
-            return
+            return group
         group = Group(spec=spec, around=self.around)
         self.groups[spec.name] = group
         self.takeovers[spec.name] = Takeover(
@@ -135,8 +166,70 @@
             recorder=self.recorder,
         )
         self.refresh_members(spec.name)
-        self.keep_running(group.watch.run)
-        self.keep_running(self.takeovers[spec.name].run)
+        self.group_tasks[spec.name] = [
+            self.keep_running(group.watch.run),
+            self.keep_running(self.takeovers[spec.name].run),
+        ]
+        self.log(PART, "group taken up", group=spec.name)
+        return group
+
+    def may_leave(self, name):
+        """Tell whether nobody has needed our connections to a group for a while."""
+        if self.takeovers[name].attempting:
+            return False
+        items = self.groups[name].upstreams.values()
+        if any(item.pool.in_use for item in items):
+            return False
+        return self.clock() - self.asked_at.get(name, 0.0) > LEAVE_AFTER
+
+    def leave_group(self, name):
+        """Close what we hold of a group that others own."""
+        for task in self.group_tasks.pop(name):
+            task.cancel()
+        self.groups.pop(name).close()
+        del self.takeovers[name]
+        self.log(PART, "group left to its owners", group=name)
+
+    def serve_group(self, name):
+        """A group for which another daemon asks us, or None if it is not known.
+
+        Also one that we do not own: the other daemon reaches none of its owners, or
+        knows of daemons that we have not heard of.
+        """
+        current = self.catalog.current
+        spec = current.groups.get(name) if current else None
+        if spec is None:
+            return None
+        self.asked_at[name] = self.clock()
+        return self.start_group(spec)
+
+    def access(self, name):
+        """The way to a group, or None if it is not known yet."""
+        current = self.catalog.current
+        spec = current.groups.get(name) if current else None
+        if spec is None or not self.daemons.listed:
+            return None
+        if self.daemons.owns(spec):
+            return LocalAccess(group=self.start_group(spec))
+        return RemoteAccess(spec=spec, around=self.around, peers=self.peers)
+
+    def take_daemons(self, entries):
+        """Take in the whole list of daemons."""
+        self.daemons.take_all(entries)
+        self.tend_groups()
+
+    def take_daemon(self, entry):
+        """A daemon registered, or changed its entry."""
+        self.daemons.add(entry)
+        self.tend_groups()
+
+    def drop_daemon(self, name):
+        """A daemon's entry was removed."""
+        self.daemons.discard(name)
+        self.peers.forget(name)
+        self.tend_groups()
+
+    # Members
 
     def take_members(self, members):
         """Take in a whole list of upstreams."""
@@ -249,12 +342,38 @@
         )
 
     def role_of(self, name, job):
-        """Whether the leader or a replica answered a job; None if neither did."""
+        """Whether the leader or a replica answered a job; empty if neither did."""
+        if job is None or not job.served_by:
+            return ""
         group = self.groups.get(name)
-        if group is None or job is None or not job.served_by:
-            return None
-        leads = job.served_by == group.watch.leader
-        return ServedBy.LEADER if leads else ServedBy.REPLICA
+        if job.role or group is None:
+            return job.role
+        return group.role_of(job.served_by)
+
+    # Other daemons' statements
+
+    def open_desk(self, peer):
+        """Another daemon opened a link: who works on its statements."""
+        desk = OwnerDesk(proxy=self, peer=peer)
+        self.desks.add(desk)
+        return desk
+
+    def watch_pauses(self):
+        """Notice when this process stood still, and drop what was asked before.
+
+        What goes wrong without it: a daemon that thaws reads statements that were
+        queued, of daemons that have long told their callers something else, and runs
+        them with values that the sessions no longer have. A plain callback, for it has
+        to come before the tasks that read the links.
+        """
+        now = self.clock()
+        if now - self.awake_at > STOOD_STILL:
+            self.log(PART, "stood still", seconds=round(now - self.awake_at, 2))
+            for desk in list(self.desks):
+                desk.frames.close()
+                desk.lost("stood still")
+        self.awake_at = now
+        asyncio.get_running_loop().call_later(AWAKE_EVERY, self.watch_pauses)
 
     # Tasks
 
@@ -263,6 +382,7 @@
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.finished)
+        return task
 
     def keep_running(self, make_work):
         """Run what has no end, and start it anew should it fail.
@@ -270,7 +390,7 @@
         What goes wrong without it: an error that nobody thought of ends a watch,
         and the daemon serves on with what it knew then.
         """
-        self.spawn(self.restart(make_work))
+        return self.spawn(self.restart(make_work))
 
     async def restart(self, make_work):
         """Run a loop again and again."""
@@ -297,6 +417,7 @@
                 self.log(PART, "upstream gone", upstream=member.id)
                 self.refresh_members(member.group)
             await self.end_idle_transactions()
+            self.tend_groups()
             for group in self.groups.values():
                 group.trim()
 
@@ -333,7 +454,7 @@
             await asyncio.sleep(LOOK_EVERY)
             if self.board.known_to < 0:
                 continue
-            for name, group in self.groups.items():
+            for name, group in list(self.groups.items()):
                 place = self.takeovers[name].place()
                 await self.recorder.look(name, group.members(), place)
 
@@ -354,6 +475,7 @@
         """Cancel all tasks and close all connections."""
         for task in list(self.tasks):
             task.cancel()
+        self.peers.close()
         for group in self.groups.values():
             group.close()
 
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -3,11 +3,11 @@
 import asyncio
 from dataclasses import dataclass
 
+from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.floors import later
 from gypsum_sessions.pooled import bring_level
 from gypsum_sessions.replies import Refusal, Reply, UpstreamError
-from gypsum_sessions.router import order_for_read
 
 PART = "read"
 # Refusals that another upstream may well answer differently.
@@ -73,17 +73,28 @@
 
     Returns the first final attempt, else the last one, None if there was none.
     """
-    order = upstream_order(group, job)
-    running, last = set(), None
+    running = set()
+    try:
+        return await run_race(group, job, running)
+    except asyncio.CancelledError:
+        for task in running:
+            task.cancel()
+        raise
+
+
+async def run_race(group, job, running):
+    """The round; `running` holds the attempts that are under way."""
+    order, last = upstream_order(group, job), None
     while order or running:
         if order:
             running |= start_attempt(group, job, order.pop(0))
         if not running:
             continue
         wait = hedge_delay(group, job) if order else job.left(group.around.clock)
-        done, running = await asyncio.wait(
+        done, _ = await asyncio.wait(
             running, timeout=wait, return_when=asyncio.FIRST_COMPLETED
         )
+        running -= done
         for task in done:
             last = task.result()
             if last.final:
--- a/packages/sessions/gypsum_sessions/reasons.py
+++ b/packages/sessions/gypsum_sessions/reasons.py
@@ -2,8 +2,6 @@
 
 from enum import StrEnum
 
-from xxhash import xxh64_intdigest
-
 
 class Reason(StrEnum):
     """Why a primary is replaced."""
@@ -15,21 +13,12 @@
     UNSETTLED = "a takeover was left unfinished"
 
 
-def place_in_order(daemons, daemon, group):
-    """This daemon's place among those that may replace a group's primary."""
-    ranked = sorted(
-        daemons, key=lambda name: xxh64_intdigest(f"{group}/{name}".encode())
-    )
-    return ranked.index(daemon) if daemon in ranked else len(ranked)
-
-
 class Reasons:
     """Looks at one group for a reason to act."""
 
-    def __init__(self, *, group, daemon, board, recorder):
+    def __init__(self, *, group, board, recorder):
         self.group = group
         self.around = group.around
-        self.daemon = daemon
         self.board = board
         self.recorder = recorder
 
@@ -48,8 +37,8 @@
         return Reason.LEAVES if self.primary_leaves(delay) else None
 
     def place(self):
-        """This daemon's place in the order for the group."""
-        return place_in_order(self.around.daemons.names, self.daemon, self.group.name)
+        """This daemon's place among the group's owners."""
+        return self.around.daemons.place(self.group.spec)
 
     def lost_for(self, delay):
         """Tell whether nobody has led for long enough, and nobody may do so unseen."""
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/remote.py
@@ -0,0 +1,246 @@
+"""A group whose connections other daemons hold: statements go to one of its owners.
+
+Truth over the hop: a statement that never left, or that an owner says has not run, is
+tried at the next owner. A read is asked again elsewhere when its owner went silent. A
+write or COMMIT that may have left is in doubt. A transaction whose link broke before
+COMMIT was sent is rolled back: its number means nothing on any other link, so no
+COMMIT can reach it any more.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from gypsum_policy.ownership import OwnerView, owners_to_ask
+from gypsum_sessions.asks import Answer, Ask, EndTransaction
+from gypsum_sessions.catalog import Route
+from gypsum_sessions.peers import PeerLost
+from gypsum_sessions.replies import Refusal, Reply
+
+PART = "remote"
+# An owner answers a statement by its deadline; the way back takes a little longer.
+ANSWER_MARGIN = 0.15
+# Pause before the owners are asked once more, seconds: they may just be starting.
+ROUND_PAUSE = 0.05
+# Daemons that would own if an owner failed: each owner has one that stands in.
+STAND_INS = 2
+
+
+class RemoteAccess:
+    """A group reached over its owners; `peers` holds the links to them."""
+
+    def __init__(self, *, spec, around, peers):
+        self.spec = spec
+        self.around = around
+        self.peers = peers
+
+    async def read(self, job):
+        """Run a read; it is asked again at another owner when one fails."""
+        return await self.run(job, repeats=True)
+
+    async def write(self, job):
+        """Run a write; only one that never left is asked again."""
+        return await self.run(job, repeats=False)
+
+    def begin(self, *, route, writes, arrived):
+        """A transaction that its first statement opens at an owner."""
+        return RemoteTransaction(
+            access=self, route=route, writes=writes, arrived=arrived
+        )
+
+    async def run(self, job, *, repeats):
+        """Ask the owners in turn until one has an answer, for most of the time left.
+
+        What goes wrong when all are asked just once: all daemons come back together,
+        the owners a moment after the others, whose callers are all turned away.
+        """
+        clock = self.around.clock
+        until = clock() + job.left(clock) * self.around.tuning.leader_wait_share
+        while True:
+            reply = await self.run_round(job, repeats=repeats)
+            if reply is not None:
+                return reply
+            if clock() + ROUND_PAUSE >= until:
+                return no_owner(self.around.tuning)
+            await asyncio.sleep(ROUND_PAUSE)
+
+    async def run_round(self, job, *, repeats):
+        """Ask each owner once; the first reply, None if nobody could run it."""
+        for name in self.owners():
+            if job.left(self.around.clock) <= 0:
+                break
+            try:
+                link = await self.peers.link(name, job.left(self.around.clock))
+                answer = await self.ask(link, job, fresh=not repeats)
+            except PeerLost as exc:
+                self.note_lost(job, name, exc)
+                if exc.sent and not repeats:
+                    return in_doubt(exc)
+                continue
+            if not answer.unable:
+                return take(job, answer)
+        return None
+
+    def owners(self):
+        """Names of the owners to ask, the best first."""
+        daemons = self.around.daemons
+        count = daemons.owner_count(self.spec)
+        views = [
+            OwnerView(
+                name=name,
+                place=place,
+                far=daemons.get(name).domain != self.around.domain,
+                avoided=self.peers.avoided(name),
+            )
+            for place, name in enumerate(
+                daemons.order(self.spec.name, count * STAND_INS)
+            )
+            if name != daemons.own.id
+        ]
+        return owners_to_ask(views, owners=count, daemon=daemons.own.id)
+
+    async def ask(self, link, job, *, fresh=False, **transaction):
+        """Ask one owner; raises PeerLost. `fresh` tries the link first."""
+        if fresh:
+            await link.try_out()
+        left = job.left(self.around.clock)
+        return await link.ask(
+            lambda call: Ask(
+                call=call,
+                request=job.request,
+                statement=job.statement,
+                route=job.route,
+                left=left,
+                values=job.values,
+                prepared=job.prepared,
+                own_floor=job.own_floor,
+                **transaction,
+            ),
+            timeout=left + ANSWER_MARGIN,
+        )
+
+    def note_lost(self, job, name, exc):
+        """Log an owner that gave no answer."""
+        job.tried.append(name)
+        self.around.log(
+            PART,
+            "owner lost",
+            request=job.request,
+            owner=name,
+            sent=exc.sent,
+            error=str(exc),
+        )
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class RemoteTransaction:
+    """A transaction at an owner, tied to the link that its first statement took."""
+
+    access: RemoteAccess
+    route: Route
+    writes: bool
+    arrived: float
+    wrote: bool = False
+    values_set: bool = False
+    link: object = None
+    number: int = 0
+    over: bool = False
+
+    async def run(self, job):
+        """Run a statement; anything but success has rolled it back."""
+        self.wrote = self.wrote or job.statement.writes
+        try:
+            answer = await self.ask(job)
+        except PeerLost as exc:
+            await self.close()
+            self.access.note_lost(job, exc.peer, exc)
+            return aborted(exc)
+        reply = take(job, answer)
+        if not reply.ok:
+            self.over = True
+        return reply
+
+    async def commit(self, job):
+        """COMMIT; without an answer it is in doubt if anything was written."""
+        try:
+            answer = await self.ask(job)
+        except PeerLost as exc:
+            self.access.note_lost(job, exc.peer, exc)
+            return in_doubt(exc) if exc.sent and self.wrote else aborted(exc)
+        finally:
+            self.over = True
+        return take(job, answer)
+
+    async def ask(self, job):
+        """Ask the owner of this transaction; raises PeerLost."""
+        if self.over:
+            raise PeerLost("it is over", step="ask", peer="", sent=False)
+        first = self.link is None
+        if first:
+            await self.open(job)
+        return await self.access.ask(
+            self.link,
+            job,
+            transaction=self.number,
+            first=first,
+            opens_writing=self.writes,
+            values_set=self.values_set,
+        )
+
+    async def open(self, job):
+        """Find an owner whose link works; raises PeerLost if there is none."""
+        clock = self.access.around.clock
+        share = self.access.around.tuning.leader_wait_share
+        until = clock() + job.left(clock) * share
+        while clock() < until:
+            for name in self.access.owners():
+                if await self.open_at(job, name):
+                    return
+            await asyncio.sleep(ROUND_PAUSE)
+        raise PeerLost("no owner can be reached", step="open", peer="", sent=False)
+
+    async def open_at(self, job, name):
+        """Take the link to an owner if it works; tell whether it does."""
+        try:
+            link = await self.access.peers.link(
+                name, job.left(self.access.around.clock)
+            )
+            await link.try_out()
+        except PeerLost as exc:
+            self.access.note_lost(job, name, exc)
+            return False
+        self.link, self.number = link, link.next_number()
+        return True
+
+    async def close(self):
+        """Tell the owner that it is over; a broken link has told it already."""
+        if self.link is not None and not self.over:
+            self.link.tell(EndTransaction(transaction=self.number))
+        self.over = True
+
+
+def take(job, answer: Answer):
+    """Note on a job what its answer tells; returns the reply."""
+    job.tried.extend(answer.tried)
+    job.served_by = answer.served_by
+    job.role = answer.role
+    job.floor, job.floor_age = answer.floor, answer.floor_age
+    return answer.reply
+
+
+def in_doubt(exc):
+    """The reply for work that may have reached an upstream."""
+    return Reply(refusal=Refusal.IN_DOUBT, detail=f"may have run, {exc}")
+
+
+def aborted(exc):
+    """Nothing of the transaction is kept: its COMMIT was never sent."""
+    return Reply(refusal=Refusal.ABORTED, detail=f"rolled back, {exc}")
+
+
+def no_owner(tuning):
+    """The refusal of work that no owner took."""
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail="not run, no owner of the group can be reached",
+        retry_after_ms=tuning.busy_retry_after_ms,
+    )
--- a/packages/sessions/gypsum_sessions/session.py
+++ b/packages/sessions/gypsum_sessions/session.py
@@ -4,16 +4,13 @@
 from dataclasses import dataclass, field
 
 from gypsum_core.records import Position
-from gypsum_sessions import transactions
+from gypsum_sessions.access import OpenTransaction
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.floors import later
 from gypsum_sessions.jobs import Job
 from gypsum_sessions.pooled import prepared_name
-from gypsum_sessions.reads import run_read
 from gypsum_sessions.replies import Refusal, Reply, SessionState
 from gypsum_sessions.statements import Statement, StatementKind
-from gypsum_sessions.transactions import Transaction
-from gypsum_sessions.writes import run_write
 
 PART = "request"
 RUN_AT_UPSTREAM = frozenset(
@@ -45,7 +42,7 @@
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, Prepared] = field(default_factory=dict)
     state: SessionState = SessionState.IDLE
-    tx: Transaction | None = None
+    tx: OpenTransaction | None = None
     own_floor: Position | None = None
     last_active: float = 0.0
     abort_untold: bool = False
@@ -119,7 +116,10 @@
         route = self.current_route()
         if route is None:
             return self.refuse(Refusal.UNKNOWN_DATABASE, self.database)
-        self.tx = Transaction(route=route, writes=statement.writes, arrived=arrived)
+        access = self.proxy.access(route.group)
+        if access is None:
+            return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
+        self.tx = access.begin(route=route, writes=statement.writes, arrived=arrived)
         self.state = SessionState.IN_TRANSACTION
         return Reply(state=self.state)
 
@@ -180,24 +180,24 @@
 
     async def run_job(self, job):
         """Run a job in the open transaction or on its own."""
-        group = self.proxy.groups.get(job.route.group)
-        if group is None:
-            return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
         if self.tx is not None:
-            return await self.run_inside(group, job)
+            return await self.run_inside(job)
+        access = self.proxy.access(job.route.group)
+        if access is None:
+            return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
         if job.statement.writes:
-            reply = await run_write(group, job)
+            reply = await access.write(job)
             if reply.ok:
                 self.own_floor = later(self.own_floor, reply.position)
             return self.outside(reply)
-        reply = await run_read(group, job)
+        reply = await access.read(job)
         still_running = self.leftovers | job.leftovers
         self.leftovers = {task for task in still_running if not task.done()}
         return self.outside(reply)
 
-    async def run_inside(self, group, job):
+    async def run_inside(self, job):
         """Run a job inside the open transaction."""
-        reply = await transactions.run_in_transaction(group, self.tx, job)
+        reply = await self.tx.run(job)
         if not reply.ok:
             self.state = SessionState.FAILED
         return with_state(reply, self.state)
@@ -207,12 +207,9 @@
         if self.tx is None:
             return None, self.refuse(Refusal.MALFORMED, "no transaction is open")
         job = self.make_job(request, statement, arrived, self.tx.route)
-        group = self.proxy.groups.get(job.route.group)
         tx, self.tx = self.tx, None
         self.state = SessionState.IDLE
-        if group is None:
-            return job, self.refuse(Refusal.ABORTED, "the group is not known")
-        reply = await transactions.commit(group, tx, job)
+        reply = await tx.commit(job)
         if reply.ok and tx.wrote:
             self.own_floor = later(self.own_floor, reply.position)
         return job, self.outside(reply)
@@ -224,9 +221,8 @@
         tx, self.tx = self.tx, None
         self.state = SessionState.IDLE
         self.abort_untold = False
-        if tx is None or tx.pooled is None:
-            return
-        await transactions.close(self.proxy.groups.get(tx.route.group), tx)
+        if tx is not None:
+            await tx.close()
 
     async def abort_open(self):
         """End an open transaction from our side; the caller learns of it later."""
@@ -236,9 +232,7 @@
         # the transaction without a connection and open it anew.
         self.state = SessionState.FAILED
         self.abort_untold = True
-        if self.tx.pooled is not None:
-            group = self.proxy.groups.get(self.tx.route.group)
-            await transactions.close(group, self.tx)
+        await self.tx.close()
 
     # Small things
 
--- a/packages/sessions/gypsum_sessions/settings.py
+++ b/packages/sessions/gypsum_sessions/settings.py
@@ -23,7 +23,8 @@
 
     Addresses are `host:port`. `grace_seconds` is the time between SIGTERM and the
     end, `upstream_drain_seconds` how long a leaving upstream still takes work.
-    `spare_ports` is the first and last port free for the daemon's own use.
+    `spare_ports` is the first and last port free for the daemon's own use: links of
+    other daemons arrive at the first.
     """
 
     daemon: Annotated[str, Meta(min_length=1)]
@@ -37,6 +38,12 @@
     upstream_drain_seconds: Seconds = 7.0
     metrics_port: Port = 0
 
+    @property
+    def links(self):
+        """Where other daemons reach this one, `host:port`; empty without a port."""
+        host = self.callers.rpartition(":")[0]
+        return f"{host}:{self.spare_ports[0]}" if self.spare_ports[0] else ""
+
 
 def load_session_settings(path):
     """Read and check a settings file; raises SettingsError."""
--- a/packages/sessions/gypsum_sessions/statements.py
+++ b/packages/sessions/gypsum_sessions/statements.py
@@ -42,6 +42,11 @@
     term: int = 0
     text: str = ""
 
+    @property
+    def commits(self):
+        """Tell whether it is the end of a transaction that keeps what was done."""
+        return self.kind is StatementKind.COMMIT
+
     @property
     def reads(self):
         """Tell whether it shows data and changes none."""
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -11,6 +11,7 @@
 
 import asyncio
 
+from gypsum_policy.succession import choose_successor
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.borrow import borrowed
 from gypsum_sessions.leader import prove_leads
@@ -29,22 +30,6 @@
 DEPARTED_WAIT = 15.0
 
 
-def choose(paused, ordered=""):
-    """The member to promote: the longest log, then one that stays, then any.
-
-    `ordered` is the one of an order that got no answer. It stays the choice while
-    its pause has held: two orders that are both carried out, for different members,
-    let the second cut off what the first one acknowledged as primary.
-    """
-    if any(item.upstream == ordered and item.held_before for item in paused):
-        return ordered
-    best = max(
-        paused,
-        key=lambda item: (item.status.received, not item.leaving, item.upstream),
-    )
-    return best.upstream
-
-
 class Takeover:
     """Watches one group and replaces its primary when it is out of service."""
 
@@ -56,9 +41,7 @@
         self.board = board
         self.promoter = promoter
         self.relist = relist
-        self.reasons = Reasons(
-            group=group, daemon=daemon, board=board, recorder=recorder
-        )
+        self.reasons = Reasons(group=group, board=board, recorder=recorder)
         self.lease = None
         self.control = ReplicationControl(group=group, log=self.log)
         self.ordered = ""
@@ -66,6 +49,7 @@
         self.waiting_for = []
         self.rest_until = 0.0
         self.promotions = 0
+        self.attempting = False
 
     def log(self, event, **fields):
         """Write one line about this group."""
@@ -81,11 +65,14 @@
                 reason = Reason.RESUME if self.may_resume() else None
             if reason is None:
                 continue
+            self.attempting = True
             try:
                 await self.attempt(reason)
             except (LeaseError, UpstreamError) as exc:
                 self.log("attempt ended", error=str(exc))
                 self.rest_until = self.around.clock() + self.around.tuning.lease_rest
+            finally:
+                self.attempting = False
 
     def may_resume(self):
         """Tell whether replicas that we paused should go on."""
@@ -264,7 +251,7 @@
         )
         if paused is None:
             return False
-        best = choose(paused, self.ordered)
+        best = choose_successor(paused, self.ordered)
         if self.lacks_commits(paused, best, old):
             return False
         self.log(
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -5,6 +5,7 @@
 
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.confirm import can_confirm, is_safe
+from gypsum_sessions.group import Group
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.pooled import PooledConn, roll_back
 from gypsum_sessions.reads import find_floor, no_leader, upstream_order
@@ -38,6 +39,7 @@
     what was acknowledged before then has to be seen.
     """
 
+    group: Group
     route: Route
     writes: bool
     arrived: float
@@ -47,6 +49,18 @@
     wrote: bool = False
     values_set: bool = False
 
+    async def run(self, job):
+        """Run a statement; anything but success has rolled it back."""
+        return await run_in_transaction(self.group, self, job)
+
+    async def commit(self, job):
+        """Commit it; it is over either way."""
+        return await commit(self.group, self, job)
+
+    async def close(self):
+        """Roll it back if it is open."""
+        await close(self.group, self)
+
 
 async def open_at_upstream(group, tx, job):
     """Open the transaction; a Reply if it can't be, else None."""
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -77,9 +77,8 @@
     # A connection beyond the first that was not needed for this long is closed: a new
     # one costs 12 to 27 ms of a slot, and rushes come seconds apart.
     idle_limit: float = 2.0
-    # Connections that a daemon may hold to one upstream, at least.
-    least_connections: int = 2
-    # ... and no more for this long after its start: upstreams count a connection whose
+    # A daemon is content with the least connections for this long after its start:
+    # upstreams count a connection whose
     # other end lost power for three seconds more.
     modest_for: float = 4.0
     # A member that left the list is still known for this long, so that entries
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -19,7 +19,6 @@
     read_json,
 )
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
-from gypsum_sessions.group import Daemons
 from gypsum_sessions.leaseboard import LeaseBoard
 from gypsum_sessions.recorder import MemberRecorder
 from gypsum_sessions.roster import Member
@@ -182,11 +181,15 @@
 
     def __init__(self):
         super().__init__()
-        self.daemons = Daemons(names=["d"])
+        self.daemons = {}
         self.board = LeaseBoard(clock=time.monotonic, rest=4.0)
         self.recorder = MemberRecorder(records=None, log=self.log)
         self.recalled = {}
 
+    def take_daemons(self, entries):
+        """The daemons that are registered."""
+        self.daemons = {entry.id: entry for entry in entries}
+
     def recall(self, group, members):
         """A record found at the start."""
         self.recalled[group] = members
--- /dev/null
+++ b/tests/policy/test_ownership.py
@@ -0,0 +1,70 @@
+"""Who holds connections, how many, and whom others ask."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsum_policy.ownership import (
+    LEAST_CONNECTIONS,
+    LEAST_OWNERS,
+    OwnerView,
+    connection_share,
+    owner_count,
+    owners_to_ask,
+)
+
+
+def view(name, place=0, *, far=False, avoided=False):
+    """An owner as seen from somewhere."""
+    return OwnerView(name=name, place=place, far=far, avoided=avoided)
+
+
+def test_a_few_daemons_all_hold_connections():
+    assert owner_count(9, 34) == 9
+    assert owner_count(9, 23) == 9
+
+
+def test_many_daemons_leave_the_connections_to_a_few():
+    """Symptom: three of four statements are refused, most upstreams are idle.
+
+    Sequence: 91 daemons start before upstreams that take 42 connections each; each
+    opens two. Cause: every daemon held connections of its own.
+    """
+    owners = owner_count(91, 42)
+    assert owners * connection_share(owners, 42) <= 42
+    assert connection_share(owners, 42) >= 6
+
+
+def test_a_few_daemons_that_cannot_share_leave_the_connections_to_some():
+    assert owner_count(9, 12) == LEAST_OWNERS
+
+
+@given(daemons=st.integers(1, 4000), limit=st.integers(9, 500))
+def test_the_shares_of_all_owners_leave_room_for_one_more(daemons, limit):
+    owners = owner_count(daemons, limit)
+    share = connection_share(owners, limit)
+    assert 1 <= owners <= daemons
+    assert share >= LEAST_CONNECTIONS
+    assert share == LEAST_CONNECTIONS or share * (owners + 1) <= limit
+
+
+def test_a_daemon_that_owns_asks_itself():
+    views = [view("a"), view("me", place=1, far=True)]
+    assert owners_to_ask(views, owners=2, daemon="me")[0] == "me"
+
+
+def test_near_owners_are_asked_first_and_silent_ones_last():
+    views = [view("far", far=True), view("silent", avoided=True), view("near")]
+    assert owners_to_ask(views, owners=3, daemon="me") == ["near", "far", "silent"]
+
+
+def test_daemons_that_stand_in_are_asked_when_all_owners_are_silent():
+    views = [view("owner", 0, avoided=True), view("next", 1)]
+    assert owners_to_ask(views, owners=1, daemon="me") == ["next", "owner"]
+
+
+def test_owners_of_a_domain_share_its_callers():
+    views = [view("a"), view("b"), view("c")]
+    first = [
+        owners_to_ask(views, owners=3, daemon=f"d{number}")[0] for number in range(300)
+    ]
+    assert all(70 < first.count(name) < 130 for name in "abc")
--- /dev/null
+++ b/tests/policy/test_purity.py
@@ -0,0 +1,13 @@
+"""The policies stay free of I/O, clocks, loops and hidden randomness."""
+
+from pathlib import Path
+
+import gypsum_policy
+from tests.test_core_imports import FORBIDDEN, imported_names
+
+
+def test_policies_import_nothing_that_does_io():
+    folder = Path(gypsum_policy.__file__).parent
+    for path in folder.glob("**/*.py"):
+        for module, _ in imported_names(path):
+            assert module not in FORBIDDEN | {"random"}, f"{path.name}: {module}"
--- a/tests/sessions/test_router.py
+++ b/tests/policy/test_routing.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsum_sessions.router import Candidate, order_for_read
+from gypsum_policy.routing import Candidate, order_for_read
 
 PLAIN = Candidate(
     id="a",
--- a/tests/sessions/breaks.py
+++ b/tests/sessions/breaks.py
@@ -10,7 +10,6 @@
 from gypsum_sessions import (
     pooled,
     reads,
-    session,
     transactions,
     writes,
 )
@@ -83,7 +82,7 @@
     "lost writes are sent again": [(writes, "lost_write", sent_again)],
     "own commits are forgotten": [(reads, "later", own_commits_forgotten)],
     "lost commits are told as rolled back": [
-        (session.transactions, "commit", aborted_though_sent)
+        (transactions, "commit", aborted_though_sent)
     ],
 }
 
--- /dev/null
+++ b/tests/sessions/fakelinks.py
@@ -0,0 +1,123 @@
+"""Links between daemons in virtual time: delays, cuts, silence, frozen daemons."""
+
+import asyncio
+
+# One way between two daemons, seconds.
+WAY = 0.0005
+
+
+class FakeLinks:
+    """All links of a rig; `frozen` daemons neither read nor answer."""
+
+    def __init__(self, *, loop):
+        self.loop = loop
+        self.proxies = {}
+        self.frozen = set()
+        self.dead = set()
+        self.open = []
+
+    def dialer(self, daemon):
+        """The dialer of one daemon."""
+        return FakeFrameDialer(links=self, daemon=daemon)
+
+    def freeze(self, daemon):
+        """A daemon stands still: what is sent to it waits."""
+        self.frozen.add(daemon)
+
+    def thaw(self, daemon):
+        """It goes on: first it notices, then it reads."""
+        self.frozen.discard(daemon)
+        self.proxies[daemon].awake_at = self.loop.clock() - 60.0
+        self.proxies[daemon].watch_pauses()
+        for link in list(self.open):
+            if link.at == daemon:
+                link.deliver_waiting()
+
+    def kill(self, daemon):
+        """A daemon is gone, and all its links with it."""
+        self.dead.add(daemon)
+        for link in list(self.open):
+            if daemon in (link.at, link.to):
+                link.end("reset")
+
+
+class FakeFrameDialer:
+    """Opens links from one daemon."""
+
+    def __init__(self, *, links, daemon):
+        self.links = links
+        self.daemon = daemon
+
+    async def dial(self, address, receiver, *, timeout):
+        """Open a link; raises OSError if that fails."""
+        await asyncio.sleep(3 * WAY)
+        if address in self.links.dead:
+            raise OSError("refused")
+        if address in self.links.frozen:
+            await asyncio.sleep(timeout)
+            raise OSError("no answer")
+        near = FakeFrameLink(links=self.links, at=self.daemon, to=address)
+        far = FakeFrameLink(links=self.links, at=address, to=self.daemon)
+        near.other, far.other = far, near
+        near.receiver = receiver
+        far.receiver = self.links.proxies[address].open_desk(self.daemon)
+        far.receiver.frames = far
+        return near
+
+
+class FakeFrameLink:
+    """One end of a link."""
+
+    def __init__(self, *, links, at, to):
+        self.links = links
+        self.at = at
+        self.to = to
+        self.alive = True
+        self.other = None
+        self.receiver = None
+        self.waiting = []
+        links.open.append(self)
+
+    def send(self, data):
+        """Send a message."""
+        if not self.alive:
+            return False
+        if self.at not in self.links.frozen:
+            self.links.loop.call_later(WAY, self.other.arrive, data)
+        return True
+
+    def arrive(self, data):
+        """A message came; a frozen daemon reads it later."""
+        if self.at in self.links.frozen:
+            self.waiting.append(data)
+        elif self.alive:
+            self.receiver.frame(data)
+
+    def deliver_waiting(self):
+        """Hand over what came while the daemon stood still."""
+        waiting, self.waiting = self.waiting, []
+        for data in waiting:
+            if self.alive:
+                self.receiver.frame(data)
+
+    async def probe(self, timeout):
+        """Tell whether the other end answers."""
+        if not self.alive or self.to in self.links.frozen:
+            await asyncio.sleep(timeout)
+            return False
+        await asyncio.sleep(2 * WAY)
+        return self.alive
+
+    def close(self):
+        """Close; the other end hears of it a moment later, unless it stands still."""
+        if self.alive:
+            self.alive = False
+            self.links.open.remove(self)
+            if self.to not in self.links.frozen:
+                self.links.loop.call_later(WAY, self.other.end, "closed")
+
+    def end(self, why):
+        """The other end is gone."""
+        if self.alive:
+            self.close()
+            self.receiver.lost(why)
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -6,9 +6,11 @@
 from gypsum_platform.codec import read_statement
 from gypsum_sessions.borders import LeaseError, PromoteOutcome, PromotionLease
 from gypsum_sessions.catalog import CatalogVersion, GroupSpec, ReadRule, Route
+from gypsum_sessions.daemons import DaemonEntry
 from gypsum_sessions.proxy import Proxy
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
 from tests.sessions.fakegroup import PROMOTE_TIME, FakeDialer, FakeGroup
+from tests.sessions.fakelinks import FakeLinks
 
 
 class FakeLeases:
@@ -144,8 +146,17 @@
 class Rig:
     """One group, some daemons, and what they share."""
 
-    def __init__(self, *, daemons=1, tuning=DEFAULT_SESSION_TUNING, version=1):
+    def __init__(
+        self,
+        *,
+        daemons=1,
+        tuning=DEFAULT_SESSION_TUNING,
+        version=1,
+        max_connections=34,
+    ):
         self.loop = asyncio.get_running_loop()
+        self.links = FakeLinks(loop=self.loop)
+        self.max_connections = max_connections
         self.group = FakeGroup().add()
         self.leases = FakeLeases(group=self.group)
         self.promoter = FakePromoter(group=self.group)
@@ -172,10 +183,17 @@
             tuning=tuning,
             log=self.log,
             observe=lambda *args: None,
+            links=self.links.dialer(name),
+            link_address=name,
+        )
+        self.links.proxies[name] = proxy
+        proxy.take_daemons(
+            [DaemonEntry(id=name, domain="a", link=name) for name in names]
         )
-        proxy.daemons.names = set(names)
         self.leases.boards.append(proxy.board)
-        proxy.offer_catalog(catalog(version), "test")
+        configured = catalog(version)
+        spec = replace(configured.groups["db"], max_connections=self.max_connections)
+        proxy.offer_catalog(replace(configured, groups={"db": spec}), "test")
         proxy.take_members(self.group.listing())
         self.catch_up(proxy)
         proxy.recorder.note("db", self.group.listing())
@@ -197,9 +215,17 @@
 
     async def settle(self, timeout=2.0):
         """Wait until every daemon has found a leader."""
-        for proxy in self.proxies:
+        for proxy in self.owners():
             assert await proxy.groups["db"].watch.wait_leader(timeout)
 
+    def owners(self):
+        """The daemons that hold connections to the group."""
+        return [proxy for proxy in self.proxies if "db" in proxy.groups]
+
+    def others(self):
+        """The daemons that send statements to owners."""
+        return [proxy for proxy in self.proxies if "db" not in proxy.groups]
+
     def caller(self, database="own", proxy=None):
         """A caller of one database."""
         self.callers += 1
--- a/tests/sessions/test_recorder.py
+++ b/tests/sessions/test_recorder.py
@@ -165,7 +165,7 @@
 def test_members_on_record_that_are_not_listed_again_are_forgotten():
     async def main():
         rig = Rig()
-        gone = replace(rig.group.listing()[0], id="old", address="old:1")
+        gone = replace(rig.group.listing()[0], id="old", name="old", address="old:1")
         rig.proxy.recall("db", [gone])
         rig.proxy.keep_running(rig.proxy.tend)
         assert rig.proxy.groups["db"].member("old") is not None
--- /dev/null
+++ b/tests/sessions/test_remote.py
@@ -0,0 +1,299 @@
+"""Statements that go to an owner of their group, and owners that fail meanwhile."""
+
+import asyncio
+
+import pytest
+
+from gypsum_sessions.asks import Ask, MessageError, decode, encode
+from gypsum_sessions.replies import Refusal, SessionState
+from gypsum_sessions.statements import Statement, StatementKind
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+
+DAEMONS = 5
+# What one upstream takes: too few for five daemons, so that three own the group.
+FEW = 9
+
+
+async def make_rig():
+    """Three owners and two others, which know who leads."""
+    rig = Rig(daemons=DAEMONS, max_connections=FEW)
+    await rig.settle()
+    assert (len(rig.owners()), len(rig.others())) == (3, 2)
+    return rig
+
+
+def owner_of(caller):
+    """The name of the daemon that a caller's transaction is open at."""
+    return caller.session.tx.link.peer
+
+
+def first_owner(rig):
+    """The name of the owner that the first other daemon asks first."""
+    return rig.others()[0].access("db").owners()[0]
+
+
+def test_others_read_and_write_without_connections_of_their_own():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("WRITE a 1")).ok
+        reply = await caller.send("READ a")
+        assert reply.rows == ("1",) and reply.proof
+        assert rig.others()[0].groups == {}
+
+    run(main())
+
+
+def test_transactions_are_open_at_an_owner_until_their_end():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("BEGIN")).ok
+        assert (await caller.send("WRITE a 1")).state is SessionState.IN_TRANSACTION
+        assert (await caller.send("READ a")).ok
+        assert (await caller.send("COMMIT")).state is SessionState.IDLE
+        assert len(rig.group.acknowledged) == 1
+        assert (await caller.send("BEGIN")).ok
+        assert (await caller.send("WRITE a 2")).ok
+        assert (await caller.send("ROLLBACK")).ok
+        await asyncio.sleep(0.1)
+        assert len(rig.group.acknowledged) == 1
+        assert all(not desk.busy for proxy in rig.owners() for desk in proxy.desks)
+
+    run(main())
+
+
+def test_session_values_and_prepared_names_go_with_the_statement():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("SET zone north")).ok
+        assert (await caller.send("PREPARE s1 WRITE q2c")).ok
+        assert (await caller.send("EXECUTE s1 a 1")).ok
+        used = [
+            conn
+            for member in rig.group.members
+            for conn in member.conns
+            if "w_q2c" in conn.prepared
+        ]
+        assert [conn.values for conn in used] == [{"zone": "north"}]
+
+    run(main())
+
+
+def test_a_read_is_asked_elsewhere_when_its_owner_goes_silent():
+    """Symptom: reads of a healthy group take as long as their callers wait.
+
+    Sequence: an owner freezes with a read on its way. Cause: the daemon that sent it
+    waits for an answer that does not come.
+    """
+
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("READ a")).ok
+        rig.links.freeze(first_owner(rig))
+        began = rig.loop.time()
+        assert (await caller.send("READ a")).ok
+        assert rig.loop.time() - began < 0.9
+
+    run(main())
+
+
+def test_a_write_at_an_owner_that_went_silent_is_in_doubt_and_not_repeated():
+    """Symptom: a write takes effect twice.
+
+    Sequence: an owner freezes with a write on its way, and thaws. Cause: the write was
+    sent to the next owner as well, or the first one runs what was queued.
+    """
+
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("READ a")).ok
+        owner = first_owner(rig)
+        rig.links.freeze(owner)
+        reply = await caller.send("WRITE a 1")
+        assert reply.refusal is Refusal.IN_DOUBT
+        rig.links.thaw(owner)
+        await asyncio.sleep(1.0)
+        assert rig.group.acknowledged == []
+
+    run(main())
+
+
+def test_a_write_that_never_left_goes_to_the_next_owner():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("READ a")).ok
+        rig.links.freeze(first_owner(rig))
+        await asyncio.sleep(0.5)
+        assert (await caller.send("WRITE a 1")).ok
+
+    run(main())
+
+
+def test_a_transaction_whose_owner_is_lost_is_rolled_back_for_good():
+    """Symptom: a transaction that was told as rolled back is committed.
+
+    Sequence: a transaction writes at an owner, the owner freezes, its caller is told,
+    the owner thaws and reads a COMMIT that was queued. Cause: the COMMIT reached it
+    over a link that the other end has given up.
+    """
+
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE a 1")).ok
+        owner = owner_of(caller)
+        rig.links.freeze(owner)
+        assert (await caller.send("READ a")).refusal is Refusal.ABORTED
+        rig.links.thaw(owner)
+        await asyncio.sleep(0.5)
+        assert rig.group.acknowledged == []
+        desks = [desk for proxy in rig.owners() for desk in proxy.desks]
+        assert all(not desk.held for desk in desks)
+        assert (await caller.send("ROLLBACK")).ok
+        assert (await caller.send("WRITE a 2")).ok
+
+    run(main())
+
+
+def test_a_commit_at_an_owner_that_is_killed_is_in_doubt():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE a 1")).ok
+        owner = owner_of(caller)
+        committing = asyncio.create_task(caller.send("COMMIT"))
+        await asyncio.sleep(0.005)
+        rig.links.kill(owner)
+        assert (await committing).refusal is Refusal.IN_DOUBT
+
+    run(main())
+
+
+def test_a_transaction_that_only_read_is_not_in_doubt():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        await caller.send("BEGIN READ")
+        assert (await caller.send("READ a")).ok
+        owner = owner_of(caller)
+        committing = asyncio.create_task(caller.send("COMMIT"))
+        await asyncio.sleep(0.005)
+        rig.links.kill(owner)
+        assert (await committing).refusal is Refusal.ABORTED
+
+    run(main())
+
+
+def test_an_owner_that_leaves_gets_no_new_work_and_ends_what_it_has():
+    async def main():
+        rig = await make_rig()
+        other = rig.others()[0]
+        caller, second = rig.caller("own", other), rig.caller("own", other)
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE a 1")).ok
+        name = owner_of(caller)
+        owner = rig.links.proxies[name]
+        for desk in owner.desks:
+            desk.tell_leaving()
+        await asyncio.sleep(0.01)
+        assert other.access("db").owners()[-1] == name
+        await second.send("BEGIN")
+        assert (await second.send("WRITE b 1")).ok
+        assert owner_of(second) != name
+        assert (await caller.send("COMMIT")).ok
+
+    run(main())
+
+
+def test_an_owner_that_has_to_end_says_so_to_the_next_statement():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE a 1")).ok
+        for desk in rig.links.proxies[owner_of(caller)].desks:
+            desk.end_waiting()
+        await asyncio.sleep(0.05)
+        assert (await caller.send("COMMIT")).refusal is Refusal.ABORTED
+        assert rig.group.acknowledged == []
+
+    run(main())
+
+
+def test_a_caller_that_leaves_ends_its_transaction_at_the_owner():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE a 1")).ok
+        await rig.others()[0].close_session(caller.session)
+        await asyncio.sleep(0.1)
+        assert all(not desk.held for proxy in rig.owners() for desk in proxy.desks)
+
+    run(main())
+
+
+def test_work_is_refused_with_a_time_to_come_back_when_no_owner_answers():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        for proxy in rig.proxies:
+            rig.links.kill(proxy.name)
+        reply = await caller.send("WRITE a 1")
+        assert reply.refusal is Refusal.BUSY and reply.retry_after_ms
+
+    run(main())
+
+
+def test_a_daemon_that_does_not_own_serves_those_who_reach_no_owner():
+    """Symptom: a group is out of service although half of the daemons live.
+
+    Sequence: all owners of a group are killed together. Cause: nobody else takes
+    statements for it.
+    """
+
+    async def main():
+        rig = await make_rig()
+        owners = [proxy.name for proxy in rig.owners()]
+        caller = rig.caller("own", rig.others()[0])
+        for name in owners:
+            rig.links.kill(name)
+        assert (await caller.send("WRITE a 1")).ok
+
+    run(main())
+
+
+def test_messages_come_through_whole():
+    statement = Statement(kind=StatementKind.READ, text="READ a")
+    rig_route = None
+
+    async def main():
+        nonlocal rig_route
+        rig = Rig()
+        rig_route = rig.proxy.catalog.route("own")
+
+    run(main())
+    ask = Ask(
+        call=7,
+        request="r",
+        statement=statement,
+        route=rig_route,
+        left=0.5,
+        values={"a": "b"},
+        prepared=(("shape", True),),
+    )
+    assert decode(encode(ask)) == ask
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x80", b"\x83\x01\x02\x03"])
+def test_bytes_that_are_no_message_are_refused(data):
+    with pytest.raises(MessageError):
+        decode(data)
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -4,10 +4,10 @@
 from dataclasses import replace
 
 from gypsum_core.records import Position
-from gypsum_sessions.reasons import place_in_order
+from gypsum_policy.succession import choose_successor
+from gypsum_sessions.daemons import DaemonEntry, Daemons
 from gypsum_sessions.replication import Paused
 from gypsum_sessions.replies import Refusal, UpstreamStatus
-from gypsum_sessions.takeover import choose
 from tests.sessions.fakegroup import PROMOTE_TIME
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
@@ -31,23 +31,22 @@
 
 
 def test_the_longest_log_is_chosen_even_if_it_leaves():
-    assert choose([paused("a", 5), paused("b", 6, leaving=True)]) == "b"
+    assert choose_successor([paused("a", 5), paused("b", 6, leaving=True)]) == "b"
 
 
 def test_of_equal_logs_the_one_that_stays_is_chosen():
-    assert choose([paused("z", 5, leaving=True), paused("a", 5)]) == "a"
+    assert choose_successor([paused("z", 5, leaving=True), paused("a", 5)]) == "a"
 
 
 def test_a_later_term_is_longer_than_any_index():
-    assert choose([paused("a", 9, term=1), paused("b", 3, term=2)]) == "b"
+    assert choose_successor([paused("a", 9, term=1), paused("b", 3, term=2)]) == "b"
 
 
 def test_groups_are_spread_over_the_daemons():
-    daemons = [f"d{number}" for number in range(9)]
-    first = {
-        min(daemons, key=lambda name: place_in_order(daemons, name, f"g{group}"))
-        for group in range(40)
-    }
+    entries = [DaemonEntry(id=f"d{number}", domain="a") for number in range(9)]
+    daemons = Daemons(own=entries[0])
+    daemons.take_all(entries)
+    first = {daemons.order(f"g{group}", 1)[0] for group in range(40)}
     assert len(first) >= 6
 
 
--- a/tests/standins/platformworld.py
+++ b/tests/standins/platformworld.py
@@ -110,7 +110,7 @@
 
     async def start_daemon(self, name):
         """Start one daemon on ports of the system's choice."""
-        ports = self.ports.setdefault(name, (free_port(), free_port()))
+        ports = self.ports.setdefault(name, [free_port() for _ in range(3)])
         settings = {
             "daemon": name,
             "domain": "a",
@@ -118,6 +118,7 @@
             "probes": f"127.0.0.1:{ports[1]}",
             "store": self.address,
             "promotions": self.address,
+            "spare_ports": [ports[2], ports[2]],
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
