Statements wait in turn for an upstream; what cannot be answered is refused

Change: gypsum_policy.admission limits what owners have at an upstream (four statements a slot in all), orders what waits by worth, by what can still be in time and by urgency, and refuses at once what its queue's observed pace leaves no time for, with a time to come back, spread. Attempts count from the moment at which they are chosen; a slow read is asked elsewhere only where it starts at once; attempts that still wait when another has answered give up.

--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/group.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from gypsum_policy.admission import work_limit
 from gypsum_policy.ownership import LEAST_CONNECTIONS
 from gypsum_policy.routing import Candidate
 from gypsum_sessions.borders import Clock, Dialer, EventLog
@@ -13,6 +14,7 @@
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.stall import WriteStall
 from gypsum_sessions.tuning import SessionTuning
+from gypsum_sessions.turns import Turns
 from gypsum_sessions.upstreams import Upstream
 
 
@@ -105,15 +107,26 @@
             clock=self.around.clock,
             tuning=self.around.tuning,
         )
+        mean = self.around.tuning.first_mean
+        turns = Turns(
+            limit=self.work_limit(member),
+            mean=mean,
+            clock=self.around.clock,
+        )
         self.upstreams[member.id] = Upstream(
-            member=member, pool=pool, mean=self.around.tuning.first_mean
+            member=member, pool=pool, turns=turns, mean=mean
         )
 
+    def work_limit(self, member):
+        """Statements that this daemon may have at an upstream at once."""
+        return work_limit(member.slots, self.around.daemons.owner_count(self.spec))
+
     def trim(self):
         """Close connections that are not needed; the limit follows the daemons."""
         for item in self.upstreams.values():
             item.pool.set_limit(self.connection_limit())
             item.pool.trim()
+            item.turns.queue.limit = self.work_limit(item.member)
 
     def connection_limit(self):
         """This daemon's share of an upstream's connections, as one of the owners.
@@ -179,14 +192,14 @@
         return Candidate(
             id=item.id,
             expected=item.mean,
-            ahead=item.pool.in_use,
+            ahead=item.turns.queue.load,
             slots=member.slots,
             leads=item.id == self.watch.leader,
             far=member.domain != self.around.domain,
             leaving=not member.stays,
             avoided=now < item.avoid_until,
             lagging=now < item.lagging_until,
-            full=item.pool.in_use >= item.pool.limit,
+            full=not item.turns.queue.has_room(now),
         )
 
     def takeover_under_way(self):
--- a/packages/sessions/gypsum_sessions/jobs.py
+++ b/packages/sessions/gypsum_sessions/jobs.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from gypsum_core.records import Position
+from gypsum_policy.admission import Claim
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.statements import Statement
 
@@ -22,6 +23,7 @@
     `arrived` and `deadline` are on the daemon's clock. `prepared` lists the
     (shape, writes) that the statement needs at its upstream. `own_floor` is the
     session's last commit. `leftovers` are attempts still running after the reply.
+    `over` says that it was answered: attempts that still wait for a turn give up.
     `tried` are the upstreams asked, in order, `served_by` the one that answered, `role`
     whether it led then.
     """
@@ -40,6 +42,16 @@
     role: str = ""
     floor: Position | None = None
     floor_age: float = 0.0
+    over: bool = False
+
+    def claim(self):
+        """What decides when it comes: its answer is due by its route's target."""
+        began = self.deadline - self.route.statement_timeout
+        return Claim(
+            priority=self.route.priority,
+            aim=began + self.route.latency_target,
+            deadline=self.deadline,
+        )
 
     def left(self, clock):
         """Seconds until the deadline, not below zero."""
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from gypsum_policy.admission import Hopeless, retry_after_ms
 from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.floors import later
@@ -29,11 +30,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """What one upstream made of a read; `reply` is None if it gave none."""
+    """What one upstream made of a read; `reply` is None if it gave none.
+
+    `wait`: it was not asked, for its queue takes that many seconds; None if it was.
+    """
 
     upstream: str
     reply: Reply | None
     detail: str = ""
+    wait: float | None = None
 
     @property
     def final(self):
@@ -64,6 +69,8 @@
         if attempt is not None and attempt.final:
             job.served_by = attempt.upstream
             return attempt.reply
+        if attempt is not None and attempt.wait is not None:
+            return overloaded(job, attempt.wait)
         await asyncio.sleep(ROUND_PAUSE)
     return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
 
@@ -87,7 +94,8 @@
     order, last = upstream_order(group, job), None
     while order or running:
         if order:
-            running |= start_attempt(group, job, order.pop(0))
+            upstream = next_upstream(group, order, must=not running)
+            running |= start_attempt(group, job, upstream)
         if not running:
             continue
         wait = hedge_delay(group, job) if order else job.left(group.around.clock)
@@ -96,7 +104,7 @@
         )
         running -= done
         for task in done:
-            last = task.result()
+            last = better(last, task.result())
             if last.final:
                 leave_running(group, job, running)
                 return last
@@ -106,8 +114,35 @@
     return last
 
 
+def next_upstream(group, order, *, must):
+    """Take the next upstream to ask out of the order; None if it is better to wait.
+
+    What goes wrong when a slow read is asked elsewhere whatever waits there: under a
+    load that all feel, every read is run twice, and nothing is answered any more.
+    """
+    now = group.around.clock()
+    for upstream in order if not must else order[:1]:
+        item = group.upstreams.get(upstream)
+        if must or (item is not None and item.turns.queue.has_room(now)):
+            order.remove(upstream)
+            return upstream
+    return None
+
+
+def better(first, second):
+    """Of two attempts the one that says more: an answer, else a shorter queue."""
+    if first is None or second.final:
+        return second
+    if first.wait is None:
+        return first
+    if second.wait is None:
+        return second
+    return min(first, second, key=lambda item: item.wait)
+
+
 def leave_running(group, job, tasks):
     """Let attempts that are not needed any more end on their own."""
+    job.over = True
     group.keep_tasks(tasks)
     job.leftovers |= tasks
 
@@ -118,7 +153,18 @@
     if item is None:
         return set()
     job.tried.append(upstream)
-    return {asyncio.create_task(attempt_read(group, job, item))}
+    try:
+        turn = item.turns.enter(job.claim())
+    except Hopeless as exc:
+        return {asyncio.create_task(give_up(item, exc))}
+    task = asyncio.create_task(attempt_read(group, job, item, turn))
+    task.add_done_callback(lambda _: turn.release())
+    return {task}
+
+
+async def give_up(item, exc):
+    """The attempt at an upstream whose queue is too long."""
+    return Attempt(upstream=item.id, reply=None, detail=str(exc), wait=exc.wait)
 
 
 def upstream_order(group, job):
@@ -139,8 +185,19 @@
     return min(delay, job.left(group.around.clock))
 
 
-async def attempt_read(group, job, item):
-    """Ask one upstream; never raises an UpstreamError."""
+async def attempt_read(group, job, item, turn):
+    """Ask one upstream in its turn; never raises an UpstreamError."""
+    try:
+        async with turn:
+            if job.over:
+                return Attempt(upstream=item.id, reply=None, detail="answered before")
+            return await attempt_now(group, job, item)
+    except Hopeless as exc:
+        return await give_up(item, exc)
+
+
+async def attempt_now(group, job, item):
+    """Ask one upstream now."""
     around, clock = group.around, group.around.clock
     try:
         pooled = await item.pool.acquire(
@@ -199,6 +256,17 @@
         item.lagging_until = around.clock() + around.tuning.lagging_rest
     if reply.refusal is Refusal.UNKNOWN_NAME:
         pooled.dirty = True
+    if reply.refusal is Refusal.BUSY:
+        item.turns.queue.turned_away(around.clock())
+
+
+def overloaded(job, wait):
+    """The refusal of work that cannot be answered in time; it has not run."""
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail=f"not run, the queue takes {wait * 1000:.0f} ms",
+        retry_after_ms=retry_after_ms(wait, job.request),
+    )
 
 
 def no_leader(tuning):
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -1,14 +1,21 @@
 """Transactions: one upstream connection from the first statement to the end."""
 
 import asyncio
+from contextlib import nullcontext
 from dataclasses import dataclass
 
+from gypsum_policy.admission import Hopeless
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.confirm import can_confirm, is_safe
 from gypsum_sessions.group import Group
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.pooled import PooledConn, roll_back
-from gypsum_sessions.reads import find_floor, no_leader, upstream_order
+from gypsum_sessions.reads import (
+    find_floor,
+    no_leader,
+    overloaded,
+    upstream_order,
+)
 from gypsum_sessions.replies import (
     Refusal,
     Reply,
@@ -66,7 +73,10 @@
     """Open the transaction; a Reply if it can't be, else None."""
     opened = open_writing if tx.writes else open_reading
     while True:
-        refused = await opened(group, tx, job)
+        try:
+            refused = await opened(group, tx, job)
+        except Hopeless as exc:
+            return overloaded(job, exc.wait)
         if refused is None or job.left(group.around.clock) <= 0:
             return refused
         if tx.pooled is None and refused.refusal is not Refusal.LAGGING:
@@ -110,9 +120,19 @@
 
 
 async def begin_at(group, tx, job, item, statement, after=None):
+    """Open the transaction at one upstream in its turn; tell whether it is open.
+
+    Raises Hopeless. What goes wrong when it takes a connection out of turn: rushes of
+    transactions hold all of them while what is worth more waits.
+    """
+    job.tried.append(item.id)
+    async with item.turns.enter(job.claim()):
+        return await begin_now(group, tx, job, item, statement, after)
+
+
+async def begin_now(group, tx, job, item, statement, after):
     """Open the transaction at one upstream; tell whether it is open."""
     around, clock = group.around, group.around.clock
-    job.tried.append(item.id)
     try:
         pooled = await take_live(group, item, job.values, job.left(clock))
     except NotSent as exc:
@@ -150,7 +170,8 @@
     tx.wrote = tx.wrote or job.statement.writes
     try:
         await level(group, job, tx.pooled)
-        reply = await ask_until_run(group, tx, job)
+        async with joined(group, tx):
+            reply = await ask_until_run(group, tx, job)
     except UpstreamError as exc:
         group.watch.doubt(tx.upstream)
         await abandon(group, tx)
@@ -163,6 +184,16 @@
     return aborted(f"{reply.refusal} {reply.detail}")
 
 
+def joined(group, tx):
+    """Count a statement at its upstream; it does not wait for a turn.
+
+    What goes wrong when it does: a transaction holds its connection, and at the leader
+    what others wait for, longer than it has to.
+    """
+    item = group.upstreams.get(tx.upstream)
+    return item.turns.joined() if item is not None else nullcontext()
+
+
 async def ask_until_run(group, tx, job):
     """Send a statement, again while the upstream's queue is full."""
     clock = group.around.clock
@@ -179,6 +210,9 @@
         open_still = reply.state is SessionState.IN_TRANSACTION
         if reply.refusal is not Refusal.BUSY or not open_still:
             return reply
+        item = group.upstreams.get(tx.upstream)
+        if item is not None:
+            item.turns.queue.turned_away(clock())
         if job.left(clock) <= 2 * BUSY_PAUSE:
             return reply
         await asyncio.sleep(BUSY_PAUSE)
@@ -198,7 +232,8 @@
     asked_at = group.around.clock()
     number = group.stall.begin(asked_at) if tx.wrote else 0
     try:
-        reply = await ask_until_run(group, tx, job)
+        async with joined(group, tx):
+            reply = await ask_until_run(group, tx, job)
         if number:
             group.stall.end(number, group.around.clock())
     except UpstreamError as exc:
--- a/packages/sessions/gypsum_sessions/upstreams.py
+++ b/packages/sessions/gypsum_sessions/upstreams.py
@@ -6,6 +6,7 @@
 from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.replies import NoFreeConnection, UpstreamRefused
 from gypsum_sessions.roster import Member
+from gypsum_sessions.turns import Turns
 
 
 @dataclass(slots=True, kw_only=True)
@@ -13,13 +14,15 @@
     """One upstream as seen from here.
 
     `unreachable` says that a short question to it was not answered, and nothing since.
-    `mean` is the mean time of a statement in seconds, `avoid_until` and
+    Statements wait in `turns` before they take a connection of the `pool`. `mean` is
+    the mean time of a statement in seconds, `avoid_until` and
     `lagging_until` times before which others are asked first, `position` the last
     log position it showed.
     """
 
     member: Member
     pool: ConnPool
+    turns: Turns
     mean: float
     avoid_until: float = 0.0
     avoid_for: float = 0.0
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+from gypsum_policy.admission import Hopeless
 from gypsum_sessions.confirm import can_confirm, is_safe
 from gypsum_sessions.pooled import bring_level
-from gypsum_sessions.reads import no_leader
+from gypsum_sessions.reads import no_leader, overloaded
 from gypsum_sessions.replies import (
     NOT_RUN,
     Refusal,
@@ -38,7 +39,10 @@
             return unconfirmable(around.tuning)
         job.tried.append(item.id)
         try:
-            reply = await try_write(group, job, item)
+            async with item.turns.enter(job.claim()):
+                reply = await try_write(group, job, item)
+        except Hopeless as exc:
+            return overloaded(job, exc.wait)
         except NotSent as exc:
             around.log(PART, "not sent", request=job.request, error=str(exc))
             await asyncio.sleep(REFUSED_PAUSE)
@@ -47,7 +51,10 @@
             job.served_by = item.id
             return reply
         last = reply
-        group.watch.doubt(item.id)
+        if reply.refusal is Refusal.BUSY:
+            item.turns.queue.turned_away(clock())
+        else:
+            group.watch.doubt(item.id)
         await asyncio.sleep(REFUSED_PAUSE)
     if last is None:
         return no_leader(around.tuning)
