--- a/packages/sessions/gypsum_sessions/confirm.py
+++ b/packages/sessions/gypsum_sessions/confirm.py
@@ -81,23 +81,27 @@
     """Ask the replicas that any takeover knows of, until one has the position.
 
     Asking whether a position is applied costs an upstream nothing, asking what it has
-    received takes a slot: so the second is asked only of those that lag.
+    received takes a slot: so the second is asked only of those that lag, at once where
+    they were seen to.
     """
     tuning = group.around.tuning
     replicas = known_replicas(group, leader)
     until = group.around.clock() + tuning.confirm_for
-    first = await gather_evidence(
-        group, replicas, lambda item: poll_applied(group, item, position, until)
+    quick = [item for item in replicas if item.lag < tuning.confirm_for]
+    found = await gather_evidence(
+        group, quick, lambda item: poll_applied(group, item, position, until)
     )
-    if Evidence.HELD in first.values():
+    if Evidence.HELD in found.values():
         return Evidence.HELD
-    lagging = [item for item in replicas if first[item.id] is Evidence.LACKING]
-    second = await gather_evidence(
+    lagging = [
+        item for item in replicas if found.get(item.id) in (None, Evidence.LACKING)
+    ]
+    found |= await gather_evidence(
         group, lagging, lambda item: ask_one(group, item, position, ask_received)
     )
-    if Evidence.HELD in second.values():
+    if Evidence.HELD in found.values():
         return Evidence.HELD
-    found = {**first, **second}.values()
+    found = found.values()
     unknown = not found or Evidence.UNKNOWN in found
     return Evidence.UNKNOWN if unknown else Evidence.LACKING
 
@@ -149,11 +153,17 @@
     tuning, clock = group.around.tuning, group.around.clock
     if item.unreachable and clock() < item.avoid_until:
         return Evidence.UNKNOWN
+    began = clock()
     while True:
         found = await ask_one(group, item, position, ask_applied)
         if found is not Evidence.LACKING or clock() >= until:
-            return found
+            break
         await asyncio.sleep(tuning.confirm_pause)
+    if found is Evidence.HELD:
+        item.applied_after(clock() - began, tuning)
+    elif found is Evidence.LACKING:
+        item.applied_after(2 * tuning.confirm_for, tuning)
+    return found
 
 
 async def ask_one(group, item, position, question):
@@ -166,7 +176,7 @@
         try:
             if not around.board.trusts(group.name, pooled.opened_at):
                 return Evidence.UNKNOWN
-            evidence = await question(pooled.conn, position, around.tuning)
+            evidence = await question(item, pooled.conn, position, around.tuning)
         finally:
             item.pool.release(pooled)
         item.heard()
@@ -178,13 +188,13 @@
         return Evidence.UNKNOWN
 
 
-async def ask_alive(conn, position, tuning):
+async def ask_alive(item, conn, position, tuning):
     """Whether a replica answers at all."""
     await conn.ask(ROLLBACK, timeout=tuning.ping_timeout)
     return Evidence.HELD
 
 
-async def ask_applied(conn, position, tuning):
+async def ask_applied(item, conn, position, tuning):
     """Whether a replica has applied a position."""
     begun = await conn.ask(BEGIN_READING, timeout=tuning.ping_timeout, after=position)
     if begun.ok:
@@ -193,12 +203,14 @@
     return Evidence.LACKING if begun.refusal is Refusal.LAGGING else Evidence.UNKNOWN
 
 
-async def ask_received(conn, position, tuning):
+async def ask_received(item, conn, position, tuning):
     """Whether a replica has received what it may not have applied yet."""
     reply = await conn.ask(STATUS, timeout=tuning.ping_timeout)
     if not reply.ok:
         return Evidence.UNKNOWN
-    received = conn.read_status(reply).received
+    status = conn.read_status(reply)
+    item.applied_after(status.lag_ms / 1000, tuning)
+    received = status.received
     # An end of another term tells nothing: the position may have been cut off there.
     same_term = received.term == position.term
     held = same_term and received.index >= position.index
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -32,9 +32,12 @@
     # A takeover may be under way this long after its lease was taken: the longest time
     # to its promotion.
     settled_after: float = 4.0
-    # A commit is applied by a replica within this: its usual lag, six times. After it
-    # the replicas are asked what they have received, which takes a slot.
+    # A commit that a replica applies within this is waited for: the wait takes no slot.
+    # Of one whose usual lag is longer is asked what it has received, which takes one
+    # and a few milliseconds.
     confirm_for: float = 0.05
+    # Weight of the newest sample in a replica's usual lag: three say enough.
+    lag_weight: float = 0.3
     confirm_pause: float = 0.01
     # A commit that no replica is known to have is asked for again after this: a round
     # of questions takes slots of replicas that lag.
--- a/packages/sessions/gypsum_sessions/upstreams.py
+++ b/packages/sessions/gypsum_sessions/upstreams.py
@@ -17,7 +17,8 @@
     Statements wait in `turns` before they take a connection of the `pool`. `mean` is
     the mean time of a statement in seconds, `avoid_until` and
     `lagging_until` times before which others are asked first, `position` the last
-    log position it showed.
+    log position it showed, `lag` the usual time in seconds from a commit to its
+    being applied there.
     """
 
     member: Member
@@ -28,6 +29,7 @@
     avoid_for: float = 0.0
     lagging_until: float = 0.0
     position: Position | None = None
+    lag: float = 0.0
     unreachable: bool = False
 
     @property
@@ -41,6 +43,10 @@
         self.position = position or self.position
         self.heard()
 
+    def applied_after(self, seconds, tuning):
+        """Note how long a commit took to be applied here."""
+        self.lag += tuning.lag_weight * (seconds - self.lag)
+
     @property
     def askable(self):
         """Tell whether a short question is likely to be answered.
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -444,7 +444,7 @@
             term=member.group.term,
             received=member.end,
             held_term=member.paused,
-            lag_ms=0.0,
+            lag_ms=member.lag * 1000,
         )
         return Reply(rows=(status,), state=self.state, position=member.end)
 
