News of the store are passed on from a few watchers

Change: where there are more than a dozen daemons two in each failure domain watch; the others follow one of them over a link, and ask the store only while none vouches for what they know. A watcher vouches while the store answers it; one that is silent, cut off or behind is left. What is too large for a small link is left to the store. Ways weighed: longer watches (a silent store hides changes for as long); only owners watch (does not hold at 8,700 databases, where every daemon owns some).

--- a/packages/sessions/gypsum_sessions/asks.py
+++ b/packages/sessions/gypsum_sessions/asks.py
@@ -1,4 +1,4 @@
-"""Messages between a daemon and the owner of a group, as CBOR."""
+"""Messages between daemons, as CBOR: statements to owners, news of the store."""
 
 import cbor2
 from msgspec import Struct, ValidationError, convert, to_builtins
@@ -64,7 +64,32 @@
     """The owner drains: ask another one from now on."""
 
 
-Message = Ask | Answer | EndTransaction | Leaving
+class Follow(Struct, frozen=True, kw_only=True, array_like=True, tag="follow"):
+    """Pass on what is new in some feeds, after the revisions that are known."""
+
+    revisions: dict[str, int]
+
+
+class News(Struct, frozen=True, kw_only=True, array_like=True, tag="news"):
+    """What is new in a feed up to a revision: objects by name, and those removed.
+
+    If it is `whole` there are no other objects.
+    """
+
+    feed: str
+    revision: int
+    changed: dict[str, dict]
+    removed: tuple[str, ...] = ()
+    whole: bool = False
+
+
+class Current(Struct, frozen=True, kw_only=True, array_like=True, tag="current"):
+    """Feeds for which the sender is in touch with the store, and their revisions."""
+
+    feeds: dict[str, int]
+
+
+Message = Ask | Answer | EndTransaction | Leaving | Follow | News | Current
 
 
 def encode(message):
--- a/packages/sessions/gypsum_sessions/daemons.py
+++ b/packages/sessions/gypsum_sessions/daemons.py
@@ -4,6 +4,10 @@
 
 from gypsum_core.placement import Placement
 from gypsum_policy.ownership import connection_share, owner_count
+from gypsum_policy.relays import watcher_count
+
+# The watchers' place in the order of daemons; no group has such a name.
+WATCHERS = "\x00watchers"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,6 +88,18 @@
         owners = self.owners(spec)
         return owners.index(self.own.id) if self.own.id in owners else len(owners)
 
+    def watchers(self):
+        """The daemons that watch the store; kept until the list changes."""
+        if WATCHERS not in self.found:
+            domains = len({entry.domain for entry in self.known.values()})
+            count = watcher_count(len(self.known), domains)
+            self.found[WATCHERS] = self.order(WATCHERS, count)
+        return self.found[WATCHERS]
+
+    def watches(self):
+        """Tell whether this daemon watches the store itself."""
+        return not self.listed or self.own.id in self.watchers()
+
     def connection_share(self, spec):
         """Connections that each owner of a group may hold to one upstream."""
         return connection_share(self.owner_count(spec), spec.max_connections)
--- a/packages/sessions/gypsum_sessions/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/ownerdesk.py
@@ -11,6 +11,7 @@
     Answer,
     Ask,
     EndTransaction,
+    Follow,
     Leaving,
     MessageError,
     decode,
@@ -68,6 +69,8 @@
             self.take(message)
         elif isinstance(message, EndTransaction):
             self.spawn(self.end(message.transaction))
+        elif isinstance(message, Follow):
+            self.proxy.relay.follow(self, message.revisions)
 
     def lost(self, why):
         """The link is gone: so is all that it had."""
--- a/packages/sessions/gypsum_sessions/peers.py
+++ b/packages/sessions/gypsum_sessions/peers.py
@@ -9,7 +9,15 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from gypsum_sessions.asks import Answer, Leaving, MessageError, decode, encode
+from gypsum_sessions.asks import (
+    Answer,
+    Current,
+    Leaving,
+    MessageError,
+    News,
+    decode,
+    encode,
+)
 
 PART = "peers"
 # Opening a link takes three round trips between failure domains, under 10 ms.
@@ -82,11 +90,12 @@
         self.leaving = False
         self.gone = ""
         self.watching = None
+        self.following = None
 
     # FrameReceiver
 
     def frame(self, data):
-        """An answer, or the word that the owner leaves."""
+        """An answer, news, or the word that the other daemon leaves."""
         self.heard_at = self.clock()
         try:
             message = decode(data)
@@ -99,6 +108,10 @@
             fut = self.waiting.pop(message.call, None)
             if fut is not None and not fut.done():
                 fut.set_result(message)
+        elif isinstance(message, News) and self.following is not None:
+            self.following.news(message)
+        elif isinstance(message, Current) and self.following is not None:
+            self.following.beat(message)
 
     def lost(self, why):
         """The link is gone, and all that waits with it."""
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -11,6 +11,7 @@
 from gypsum_sessions.ownerdesk import OwnerDesk
 from gypsum_sessions.peers import Peers
 from gypsum_sessions.recorder import LOOK_EVERY, MemberRecorder
+from gypsum_sessions.relay import Following, Relay
 from gypsum_sessions.remote import RemoteAccess
 from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
 from gypsum_sessions.roster import Roster
@@ -100,6 +101,10 @@
             board=self.board,
         )
         self.peers = Peers(dialer=links, daemons=self.daemons, clock=clock, log=log)
+        self.relay = Relay(clock=clock, in_touch_for=tuning.in_touch_for)
+        self.following = Following(
+            daemons=self.daemons, peers=self.peers, clock=clock, log=log
+        )
         self.desks = set()
         self.awake_at = clock()
         self.groups = {}
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -84,6 +84,10 @@
     # upstreams count a connection whose
     # other end lost power for three seconds more.
     modest_for: float = 4.0
+    # A watcher of the store vouches for what it passes on this long after the store's
+    # last answer: a watch ends after four seconds at the latest, and takes one more to
+    # be taken for dead.
+    in_touch_for: float = 5.0
     # A member that left the list is still known for this long, so that entries
     # that the store lost in an outage can come back.
     missing_grace: float = 2.5
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,7 @@
     StoreError,
     read_json,
 )
+from gypsum_sessions.asks import News
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.leaseboard import LeaseBoard
 from gypsum_sessions.recorder import MemberRecorder
@@ -517,3 +518,64 @@
         taker.take_change(store_module.Change(obj=bad, deleted=False))
     assert proxy.members == {}
     assert proxy.lines.count(("store", "unusable entry")) == 1
+
+
+class FollowingDouble:
+    """Hands out news that were given by hand, then says that nobody vouches."""
+
+    def __init__(self, *news):
+        self.waiting = list(news)
+        self.known = []
+
+    def current(self, kind):
+        """Tell whether there are news."""
+        return bool(self.waiting)
+
+    async def next(self, kind):
+        """The next news."""
+        return self.waiting.pop(0) if self.waiting else None
+
+    def knows(self, kind, revision):
+        """What is known now."""
+        self.known.append(revision)
+
+
+def test_news_that_were_passed_on_are_taken_like_those_of_the_store():
+    def news(revision, names=(), removed=(), whole=False):
+        changed = {
+            name: {"name": name, "revision": revision, "spec": {}, "created": 1}
+            for name in names
+        }
+        return News(
+            feed="k",
+            revision=revision,
+            changed=changed,
+            removed=removed,
+            whole=whole,
+        )
+
+    async def main(stand_in, client):
+        stand_in.put("k", "a", {})
+        lists, changes = [], []
+        following = FollowingDouble(
+            news(5, ["b"]), news(6, removed=("a",)), news(9, ["c"], whole=True)
+        )
+        feed = Feed(
+            store=client,
+            kind="k",
+            take_all=lambda objects: lists.append([obj.name for obj in objects]),
+            take_change=lambda change: changes.append(
+                (change.obj.name, change.deleted)
+            ),
+            log=lambda *args, **fields: None,
+            waker=Waker(),
+            following=following,
+        )
+        task = asyncio.create_task(feed.run())
+        await until(lambda: len(lists) == 2)
+        task.cancel()
+        assert lists == [["a"], ["c"]]
+        assert changes == [("b", False), ("a", True)]
+        assert following.known == [1, 5, 6, 9]
+
+    with_store(main)
