--- a/packages/sessions/gypsum_sessions/peers.py
+++ b/packages/sessions/gypsum_sessions/peers.py
@@ -246,6 +246,11 @@
                 return await asyncio.shield(dial)
         except TimeoutError:
             raise PeerLost("not open yet", step="dial", peer=name, sent=False) from None
+        except asyncio.CancelledError:
+            if not dial.cancelled():
+                raise
+            # We stop: who waits for the dial is told so, and not cancelled itself.
+            raise PeerLost("given up", step="dial", peer=name, sent=False) from None
 
     async def dial(self, name):
         """Open a link; raises PeerLost."""
--- a/tests/sessions/chaos.py
+++ b/tests/sessions/chaos.py
@@ -386,6 +386,7 @@
             return
         old = self.rig.proxies[place]
         old.stop()
+        self.rig.links.reset(old.name)
         names = [proxy.name for proxy in self.rig.proxies]
         proxy = self.rig.make_proxy(old.name, names, old.tuning, 1)
         proxy.board.seen.clear()
--- a/tests/sessions/fakelinks.py
+++ b/tests/sessions/fakelinks.py
@@ -45,6 +45,10 @@
     def kill(self, daemon):
         """A daemon is gone, and all its links with it."""
         self.dead.add(daemon)
+        self.reset(daemon)
+
+    def reset(self, daemon):
+        """A daemon's process ends: its links end with it."""
         for link in list(self.open):
             if daemon in (link.at, link.to):
                 link.end("reset")
