--- /dev/null
+++ b/packages/sessions/gypsum_sessions/hosting.py
@@ -0,0 +1,99 @@
+"""The groups that this daemon holds connections to, and its way to all others."""
+
+from gypsum_sessions.access import LocalAccess
+from gypsum_sessions.group import Group
+from gypsum_sessions.remote import RemoteAccess
+from gypsum_sessions.takeover import Takeover
+
+PART = "hosting"
+# A group that others own is left when nobody has asked for this long, seconds: longer
+# than an owner takes to come back after a restart.
+LEAVE_AFTER = 10.0
+
+
+class Hosting:
+    """Takes groups up that this daemon owns or is asked for, and leaves the others."""
+
+    def __init__(self, *, proxy):
+        self.proxy = proxy
+        self.groups = {}
+        self.takeovers = {}
+        self.tasks = {}
+        self.asked_at = {}
+
+    def spec(self, name):
+        """A group's settings in force, or None."""
+        current = self.proxy.catalog.current
+        return current.groups.get(name) if current else None
+
+    def tend(self):
+        """Work with the groups that this daemon owns, and leave those it does not."""
+        if self.proxy.catalog.current is None or not self.proxy.daemons.listed:
+            return
+        for name, spec in self.proxy.catalog.current.groups.items():
+            if self.proxy.daemons.owns(spec):
+                self.start(spec)
+            elif name in self.groups and self.may_leave(name):
+                self.leave(name)
+
+    def start(self, spec):
+        """Start to work with a group, unless we do already; returns it."""
+        group = self.groups.get(spec.name)
+        if group is not None:
+            return group
+        group = Group(spec=spec, around=self.proxy.around)
+        self.groups[spec.name] = group
+        self.takeovers[spec.name] = Takeover(
+            group=group,
+            daemon=self.proxy.name,
+            leases=self.proxy.leases,
+            board=self.proxy.board,
+            promoter=self.proxy.promoter,
+            relist=self.proxy.relist,
+            recorder=self.proxy.recorder,
+        )
+        self.proxy.refresh_members(spec.name)
+        self.tasks[spec.name] = [
+            self.proxy.keep_running(group.watch.run),
+            self.proxy.keep_running(self.takeovers[spec.name].run),
+        ]
+        self.proxy.log(PART, "group taken up", group=spec.name)
+        return group
+
+    def may_leave(self, name):
+        """Tell whether nobody has needed our connections to a group for a while."""
+        if self.takeovers[name].attempting:
+            return False
+        items = self.groups[name].upstreams.values()
+        if any(item.pool.in_use for item in items):
+            return False
+        return self.proxy.clock() - self.asked_at.get(name, 0.0) > LEAVE_AFTER
+
+    def leave(self, name):
+        """Close what we hold of a group that others own."""
+        for task in self.tasks.pop(name):
+            task.cancel()
+        self.groups.pop(name).close()
+        del self.takeovers[name]
+        self.proxy.log(PART, "group left to its owners", group=name)
+
+    def serve(self, name):
+        """A group for which another daemon asks us, or None if it is not known.
+
+        Also one that we do not own: the other daemon reaches none of its owners, or
+        knows of daemons that we have not heard of.
+        """
+        spec = self.spec(name)
+        if spec is None:
+            return None
+        self.asked_at[name] = self.proxy.clock()
+        return self.start(spec)
+
+    def access(self, name):
+        """The way to a group, or None if it is not known yet."""
+        spec = self.spec(name)
+        if spec is None or not self.proxy.daemons.listed:
+            return None
+        if self.proxy.daemons.owns(spec):
+            return LocalAccess(group=self.start(spec))
+        return RemoteAccess(spec=spec, around=self.proxy.around, peers=self.proxy.peers)
--- a/packages/sessions/gypsum_sessions/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/ownerdesk.py
@@ -107,7 +107,7 @@
 
     async def serve(self, ask):
         """Run one statement and answer it."""
-        group = self.proxy.serve_group(ask.route.group)
+        group = self.proxy.hosting.serve(ask.route.group)
         if group is None:
             reply = refused("the group is not known here")
             self.answer(Answer(call=ask.call, reply=reply, unable=True))
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -2,21 +2,19 @@
 
 import asyncio
 
-from gypsum_sessions.access import LocalAccess
 from gypsum_sessions.borders import LeaseError
 from gypsum_sessions.catalog import Catalog
 from gypsum_sessions.daemons import DaemonEntry, Daemons
-from gypsum_sessions.group import Group, Surroundings
+from gypsum_sessions.group import Surroundings
+from gypsum_sessions.hosting import Hosting
 from gypsum_sessions.leaseboard import LeaseBoard
 from gypsum_sessions.ownerdesk import OwnerDesk
 from gypsum_sessions.peers import Peers
 from gypsum_sessions.recorder import LOOK_EVERY, MemberRecorder
 from gypsum_sessions.relay import Following, Relay
-from gypsum_sessions.remote import RemoteAccess
 from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
 from gypsum_sessions.roster import Roster
 from gypsum_sessions.session import Session
-from gypsum_sessions.takeover import Takeover
 
 PART = "proxy"
 # How often idle transactions and members that left the list are looked for, seconds.
@@ -26,9 +24,6 @@
 BEHIND_LOOKS = 3
 # Pause before a loop that failed is started anew, seconds.
 RESTART_PAUSE = 0.5
-# A group that others own is left when nobody has asked for this long, seconds: longer
-# than an owner takes to come back after a restart.
-LEAVE_AFTER = 10.0
 # How often the process notes that it runs, and how long a gap says that it did not,
 # seconds: other daemons take a link for silent a tenth later.
 AWAKE_EVERY = 0.05
@@ -107,10 +102,9 @@
         )
         self.desks = set()
         self.awake_at = clock()
-        self.groups = {}
-        self.group_tasks = {}
-        self.asked_at = {}
-        self.takeovers = {}
+        self.hosting = Hosting(proxy=self)
+        self.groups = self.hosting.groups
+        self.takeovers = self.hosting.takeovers
         self.sessions = {}
         self.callers = set()
         self.tasks = set()
@@ -140,99 +134,29 @@
         )
         for name, group in self.groups.items():
             group.spec = candidate.groups.get(name, group.spec)
-        self.tend_groups()
-
-    # Groups that this daemon holds connections to
-
-    def tend_groups(self):
-        """Work with the groups that this daemon owns, and leave those it does not."""
-        if self.catalog.current is None or not self.daemons.listed:
-            return
-        for name, spec in self.catalog.current.groups.items():
-            if self.daemons.owns(spec):
-                self.start_group(spec)
-            elif name in self.groups and self.may_leave(name):
-                self.leave_group(name)
-
-    def start_group(self, spec):
-        """Start to work with a group, unless we do already; returns it."""
-        group = self.groups.get(spec.name)
-        if group is not None:
-            return group
-        group = Group(spec=spec, around=self.around)
-        self.groups[spec.name] = group
-        self.takeovers[spec.name] = Takeover(
-            group=group,
-            daemon=self.name,
-            leases=self.leases,
-            board=self.board,
-            promoter=self.promoter,
-            relist=self.relist,
-            recorder=self.recorder,
-        )
-        self.refresh_members(spec.name)
-        self.group_tasks[spec.name] = [
-            self.keep_running(group.watch.run),
-            self.keep_running(self.takeovers[spec.name].run),
-        ]
-        self.log(PART, "group taken up", group=spec.name)
-        return group
-
-    def may_leave(self, name):
-        """Tell whether nobody has needed our connections to a group for a while."""
-        if self.takeovers[name].attempting:
-            return False
-        items = self.groups[name].upstreams.values()
-        if any(item.pool.in_use for item in items):
-            return False
-        return self.clock() - self.asked_at.get(name, 0.0) > LEAVE_AFTER
-
-    def leave_group(self, name):
-        """Close what we hold of a group that others own."""
-        for task in self.group_tasks.pop(name):
-            task.cancel()
-        self.groups.pop(name).close()
-        del self.takeovers[name]
-        self.log(PART, "group left to its owners", group=name)
-
-    def serve_group(self, name):
-        """A group for which another daemon asks us, or None if it is not known.
-
-        Also one that we do not own: the other daemon reaches none of its owners, or
-        knows of daemons that we have not heard of.
-        """
-        current = self.catalog.current
-        spec = current.groups.get(name) if current else None
-        if spec is None:
-            return None
-        self.asked_at[name] = self.clock()
-        return self.start_group(spec)
+        self.hosting.tend()
 
     def access(self, name):
         """The way to a group, or None if it is not known yet."""
-        current = self.catalog.current
-        spec = current.groups.get(name) if current else None
-        if spec is None or not self.daemons.listed:
-            return None
-        if self.daemons.owns(spec):
-            return LocalAccess(group=self.start_group(spec))
-        return RemoteAccess(spec=spec, around=self.around, peers=self.peers)
+        return self.hosting.access(name)
+
+    # Daemons
 
     def take_daemons(self, entries):
         """Take in the whole list of daemons."""
         self.daemons.take_all(entries)
-        self.tend_groups()
+        self.hosting.tend()
 
     def take_daemon(self, entry):
         """A daemon registered, or changed its entry."""
         self.daemons.add(entry)
-        self.tend_groups()
+        self.hosting.tend()
 
     def drop_daemon(self, name):
         """A daemon's entry was removed."""
         self.daemons.discard(name)
         self.peers.forget(name)
-        self.tend_groups()
+        self.hosting.tend()
 
     # Members
 
@@ -422,7 +346,7 @@
                 self.log(PART, "upstream gone", upstream=member.id)
                 self.refresh_members(member.group)
             await self.end_idle_transactions()
-            self.tend_groups()
+            self.hosting.tend()
             for group in self.groups.values():
                 group.trim()
 
