A daemon that does not reach a primary uses owners that do, and does not depose it

Change: while a daemon knows of no primary it asks the group's other owners when they have last proven one; fresh proofs vouch for it. Statements go to those owners over the links, and no takeover begins. Ruled out: trying owners one by one with each statement (waits at each).

--- /dev/null
+++ b/packages/policy/gypsum_policy/suspicion.py
@@ -0,0 +1,28 @@
+"""When a primary that this daemon does not reach is out of service, and when it is not.
+
+Load pattern: a primary that some daemons reach and others do not, as a path is cut or
+it takes no further connection, while callers of all daemons need it. A daemon that goes
+by its own view alone deposes a primary that serves half of the callers, for a second
+in which nobody writes; and until then it turns its own callers away.
+"""
+
+# A daemon that has proven a primary this lately vouches for it, seconds: two rounds of
+# proofs, so that one that is lost does not count.
+VOUCHED_FOR = 0.6
+# Other owners are asked again after this, seconds, while we reach no primary: a few
+# milliseconds of theirs each time.
+ASK_EVERY = 0.15
+
+
+def vouches(proof_age):
+    """Tell whether a daemon whose last proof is so old vouches for its primary."""
+    return proof_age is not None and proof_age < VOUCHED_FOR
+
+
+def usable_helpers(seen, now):
+    """Names of daemons that lately vouched for a primary, the one seen last first.
+
+    `seen` maps names to when they did, on our clock.
+    """
+    fresh = [(at, name) for name, at in seen.items() if now - at < VOUCHED_FOR]
+    return [name for _, name in sorted(fresh, reverse=True)]
--- a/packages/sessions/gypsum_sessions/access.py
+++ b/packages/sessions/gypsum_sessions/access.py
@@ -5,6 +5,7 @@
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.jobs import Job
 from gypsum_sessions.reads import run_read
+from gypsum_sessions.remote import RemoteAccess
 from gypsum_sessions.replies import Reply
 from gypsum_sessions.transactions import Transaction
 from gypsum_sessions.writes import run_write
@@ -42,21 +43,48 @@
 
 
 class LocalAccess:
-    """A group whose connections this daemon holds."""
+    """A group whose connections this daemon holds.
 
-    def __init__(self, *, group):
+    While it does not reach the primary and another owner does, statements go there.
+    What goes wrong otherwise: a path to the primary is cut, or it takes no further
+    connection, and all callers of this daemon wait and are turned away.
+    """
+
+    def __init__(self, *, group, reach):
         self.group = group
+        self.reach = reach
+
+    def elsewhere(self):
+        """The way over owners that reach the primary; None if we do, or nobody does."""
+        helpers = self.reach.helpers()
+        if not helpers:
+            return None
+        return RemoteAccess(
+            spec=self.group.spec,
+            around=self.group.around,
+            peers=self.reach.peers,
+            helpers=helpers,
+        )
 
     async def read(self, job):
         """Run a read."""
+        remote = self.elsewhere()
+        if remote is not None:
+            return await remote.read(job)
         return await run_read(self.group, job)
 
     async def write(self, job):
         """Run a write."""
+        remote = self.elsewhere()
+        if remote is not None:
+            return await remote.write(job)
         return await run_write(self.group, job)
 
     def begin(self, *, route, writes, arrived):
-        """A transaction over our own connections."""
+        """A transaction over our own connections, or those of another owner."""
+        remote = self.elsewhere()
+        if remote is not None:
+            return remote.begin(route=route, writes=writes, arrived=arrived)
         return Transaction(
             group=self.group, route=route, writes=writes, arrived=arrived
         )
--- a/packages/sessions/gypsum_sessions/asks.py
+++ b/packages/sessions/gypsum_sessions/asks.py
@@ -35,6 +35,7 @@
     first: bool = False
     opens_writing: bool = False
     values_set: bool = False
+    if_led: bool = False
 
 
 class Answer(Struct, frozen=True, kw_only=True, array_like=True, tag="answer"):
@@ -64,6 +65,20 @@
     """The owner drains: ask another one from now on."""
 
 
+class LeaderQuestion(Struct, frozen=True, kw_only=True, array_like=True, tag="leads?"):
+    """When have you proven a group's primary?"""
+
+    call: int
+    group: str
+
+
+class LeaderAnswer(Struct, frozen=True, kw_only=True, array_like=True, tag="leads"):
+    """Seconds since the last proof of the primary; None if there is none."""
+
+    call: int
+    proof_age: float | None = None
+
+
 class Follow(Struct, frozen=True, kw_only=True, array_like=True, tag="follow"):
     """Pass on what is new in some feeds, after the revisions that are known."""
 
@@ -89,7 +104,17 @@
     feeds: dict[str, int]
 
 
-Message = Ask | Answer | EndTransaction | Leaving | Follow | News | Current
+Message = (
+    Ask
+    | Answer
+    | EndTransaction
+    | Leaving
+    | LeaderQuestion
+    | LeaderAnswer
+    | Follow
+    | News
+    | Current
+)
 
 
 def encode(message):
--- a/packages/sessions/gypsum_sessions/hosting.py
+++ b/packages/sessions/gypsum_sessions/hosting.py
@@ -2,6 +2,7 @@
 
 from gypsum_sessions.access import LocalAccess
 from gypsum_sessions.group import Group
+from gypsum_sessions.reach import Reach
 from gypsum_sessions.remote import RemoteAccess
 from gypsum_sessions.takeover import Takeover
 
@@ -18,6 +19,7 @@
         self.proxy = proxy
         self.groups = {}
         self.takeovers = {}
+        self.reaches = {}
         self.tasks = {}
         self.asked_at = {}
 
@@ -43,6 +45,7 @@
             return group
         group = Group(spec=spec, around=self.proxy.around)
         self.groups[spec.name] = group
+        reach = self.reaches[spec.name] = Reach(group=group, peers=self.proxy.peers)
         self.takeovers[spec.name] = Takeover(
             group=group,
             daemon=self.proxy.name,
@@ -51,11 +54,13 @@
             promoter=self.proxy.promoter,
             relist=self.proxy.relist,
             recorder=self.proxy.recorder,
+            reach=reach,
         )
         self.proxy.refresh_members(spec.name)
         self.tasks[spec.name] = [
             self.proxy.keep_running(group.watch.run),
             self.proxy.keep_running(self.takeovers[spec.name].run),
+            self.proxy.keep_running(reach.run),
         ]
         self.proxy.log(PART, "group taken up", group=spec.name)
         return group
@@ -75,6 +80,7 @@
             task.cancel()
         self.groups.pop(name).close()
         del self.takeovers[name]
+        del self.reaches[name]
         self.proxy.log(PART, "group left to its owners", group=name)
 
     def serve(self, name):
@@ -95,5 +101,6 @@
         if spec is None or not self.proxy.daemons.listed:
             return None
         if self.proxy.daemons.owns(spec):
-            return LocalAccess(group=self.start(spec))
+            group = self.start(spec)
+            return LocalAccess(group=group, reach=self.reaches[name])
         return RemoteAccess(spec=spec, around=self.proxy.around, peers=self.proxy.peers)
--- a/packages/sessions/gypsum_sessions/leader.py
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -113,6 +113,13 @@
             if proof in self.proofs:
                 self.proofs.remove(proof)
 
+    def proof_age(self):
+        """Seconds since the leader was last proven; None if nobody leads."""
+        newest = self.floors.newest
+        if not self.leader or newest is None:
+            return None
+        return self.clock() - newest.asked_at
+
     def led_lately(self, upstream):
         """Tell whether a member was the last to prove its lead, and not long ago."""
         newest = self.floors.newest
--- a/packages/sessions/gypsum_sessions/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/ownerdesk.py
@@ -12,6 +12,8 @@
     Ask,
     EndTransaction,
     Follow,
+    LeaderAnswer,
+    LeaderQuestion,
     Leaving,
     MessageError,
     decode,
@@ -69,6 +71,8 @@
             self.take(message)
         elif isinstance(message, EndTransaction):
             self.spawn(self.end(message.transaction))
+        elif isinstance(message, LeaderQuestion):
+            self.tell_leader(message)
         elif isinstance(message, Follow):
             self.proxy.relay.follow(self, message.revisions)
 
@@ -112,6 +116,10 @@
             reply = refused("the group is not known here")
             self.answer(Answer(call=ask.call, reply=reply, unable=True))
             return
+        if ask.if_led and not group.watch.leader:
+            reply = refused("no primary is proven here")
+            self.answer(Answer(call=ask.call, reply=reply, unable=True))
+            return
         job = job_of(ask, self.proxy.clock())
         if ask.transaction:
             reply = await self.run_inside(group, ask, job)
@@ -176,6 +184,12 @@
             await held.transaction.close()
         self.held.pop(number, None)
 
+    def tell_leader(self, question):
+        """Answer when we have last proven a group's primary."""
+        group = self.proxy.groups.get(question.group)
+        age = group.watch.proof_age() if group is not None else None
+        self.answer(LeaderAnswer(call=question.call, proof_age=age))
+
     def answer(self, answer):
         """Send an answer, unless nobody waits for it any more."""
         if not self.closed:
--- a/packages/sessions/gypsum_sessions/peers.py
+++ b/packages/sessions/gypsum_sessions/peers.py
@@ -12,6 +12,7 @@
 from gypsum_sessions.asks import (
     Answer,
     Current,
+    LeaderAnswer,
     Leaving,
     MessageError,
     News,
@@ -104,7 +105,7 @@
             return
         if isinstance(message, Leaving):
             self.leaving = True
-        elif isinstance(message, Answer):
+        elif isinstance(message, Answer | LeaderAnswer):
             fut = self.waiting.pop(message.call, None)
             if fut is not None and not fut.done():
                 fut.set_result(message)
--- a/packages/sessions/gypsum_sessions/reasons.py
+++ b/packages/sessions/gypsum_sessions/reasons.py
@@ -19,7 +19,8 @@
 class Reasons:
     """Looks at one group for a reason to act."""
 
-    def __init__(self, *, group, board, recorder):
+    def __init__(self, *, group, board, recorder, reach):
+        self.reach = reach
         self.group = group
         self.around = group.around
         self.board = board
@@ -48,7 +49,7 @@
     def lost_for(self, delay):
         """Tell whether nobody has led for long enough, and nobody may do so unseen."""
         since = self.group.watch.leaderless_since
-        if since is None or self.group.watch.hidden():
+        if since is None or self.group.watch.hidden() or self.reach.helpers():
             return False
         lost = self.around.clock() - since
         return lost >= self.around.tuning.suspect_after + delay
--- a/packages/sessions/gypsum_sessions/remote.py
+++ b/packages/sessions/gypsum_sessions/remote.py
@@ -26,12 +26,16 @@
 
 
 class RemoteAccess:
-    """A group reached over its owners; `peers` holds the links to them."""
+    """A group reached over its owners; `peers` holds the links to them.
 
-    def __init__(self, *, spec, around, peers):
+    With `helpers` only those are asked, as long as they know of a primary.
+    """
+
+    def __init__(self, *, spec, around, peers, helpers=()):
         self.spec = spec
         self.around = around
         self.peers = peers
+        self.helpers = helpers
 
     async def read(self, job):
         """Run a read; it is asked again at another owner when one fails."""
@@ -59,7 +63,7 @@
             reply = await self.run_round(job, repeats=repeats)
             if reply is not None:
                 return reply
-            if clock() + ROUND_PAUSE >= until:
+            if self.helpers or clock() + ROUND_PAUSE >= until:
                 return no_owner(self.around.tuning)
             await asyncio.sleep(ROUND_PAUSE)
 
@@ -82,6 +86,8 @@
 
     def owners(self):
         """Names of the owners to ask, the best first."""
+        if self.helpers:
+            return self.helpers
         daemons = self.around.daemons
         count = daemons.owner_count(self.spec)
         views = [
@@ -113,6 +119,7 @@
                 values=job.values,
                 prepared=job.prepared,
                 own_floor=job.own_floor,
+                if_led=bool(self.helpers),
                 **transaction,
             ),
             timeout=left + ANSWER_MARGIN,
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover.py
@@ -38,7 +38,9 @@
 class Takeover:
     """Watches one group and replaces its primary when it is out of service."""
 
-    def __init__(self, *, group, daemon, leases, board, promoter, relist, recorder):
+    def __init__(
+        self, *, group, daemon, leases, board, promoter, relist, recorder, reach
+    ):
         self.group = group
         self.around = group.around
         self.daemon = daemon
@@ -46,7 +48,7 @@
         self.board = board
         self.promoter = promoter
         self.relist = relist
-        self.reasons = Reasons(group=group, board=board, recorder=recorder)
+        self.reasons = Reasons(group=group, board=board, recorder=recorder, reach=reach)
         self.lease = None
         self.control = ReplicationControl(group=group, log=self.log)
         self.ordered = ""
--- /dev/null
+++ b/tests/sessions/test_reach.py
@@ -0,0 +1,88 @@
+"""A primary that this daemon does not reach and others do."""
+
+import asyncio
+
+from gypsum_policy.suspicion import VOUCHED_FOR, usable_helpers, vouches
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+from tests.sessions.writers import check_nothing_lost, write_for
+
+
+def cut_off(rig, proxy, upstream):
+    """A daemon loses its path to an upstream: open connections go silent."""
+    proxy.around.dialer.dialer.cut.add(upstream)
+    for conn in list(rig.group[upstream].conns):
+        if conn.dialer is proxy.around.dialer.dialer:
+            conn.silent = True
+
+
+def test_only_fresh_proofs_vouch():
+    assert vouches(0.1) and not vouches(VOUCHED_FOR) and not vouches(None)
+    seen = {"a": 9.9, "b": 9.8, "old": 9.9 - VOUCHED_FOR}
+    assert usable_helpers(seen, 10.0) == ["a", "b"]
+
+
+def test_callers_of_a_daemon_that_is_cut_off_are_served_by_way_of_another():
+    """Symptom: for seconds all callers of some daemons are refused.
+
+    Sequence: the path from a daemon to the primary is cut, all others reach it. Cause:
+    a daemon only used its own connections.
+    """
+
+    async def main():
+        rig = Rig(daemons=3)
+        await rig.settle()
+        cut, told = rig.proxies[0], []
+        cut_off(rig, cut, "u1")
+        await asyncio.sleep(1.5)
+        await write_for(rig, cut, 4.0, told)
+        assert all(refusal is None for _, refusal, _ in told)
+        assert (await rig.caller("primary", cut).send("READ a")).ok
+        caller = rig.caller("own", cut)
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE tx 1")).ok
+        assert (await caller.send("COMMIT")).ok
+        check_nothing_lost(rig, told)
+
+    run(main())
+
+
+def test_a_primary_that_others_reach_is_not_replaced():
+    async def main():
+        rig = Rig(daemons=3)
+        await rig.settle()
+        places = [proxy.takeovers["db"].place() for proxy in rig.proxies]
+        first = rig.proxies[places.index(0)]
+        cut_off(rig, first, "u1")
+        await asyncio.sleep(8.0)
+        assert rig.group.promotions == []
+
+    run(main())
+
+
+def test_a_primary_that_nobody_reaches_is_replaced_as_soon_as_ever():
+    async def main():
+        rig = Rig(daemons=3)
+        await rig.settle()
+        rig.group["u1"].dark = True
+        await asyncio.sleep(3.0)
+        assert len(rig.group.promotions) == 1
+
+    run(main())
+
+
+def test_a_daemon_uses_its_own_way_again_once_it_is_back():
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        cut = rig.proxies[0]
+        cut_off(rig, cut, "u1")
+        await asyncio.sleep(1.5)
+        access = cut.access("db")
+        assert access.elsewhere() is not None
+        cut.around.dialer.dialer.cut.clear()
+        await asyncio.sleep(1.0)
+        assert access.elsewhere() is None
+        assert (await rig.caller("own", cut).send("WRITE a 1")).ok
+
+    run(main())
