A daemon that is cut off from most of a group refuses at once

Change: while nobody leads, a daemon that has heard of less than half of a group's members for a second refuses at once, with a time to come back. One whose primary died reaches the others and lets its callers wait. A refusal at the connection limit counts as an answer. Ruled out: refusing whenever nobody leads (callers spend their two tries during an ordinary promotion).

--- a/packages/policy/gypsum_policy/suspicion.py
+++ b/packages/policy/gypsum_policy/suspicion.py
@@ -13,6 +13,22 @@
 # milliseconds of theirs each time.
 ASK_EVERY = 0.15
 
+# A member that has answered nothing for this long is out of our reach, seconds: it is
+# asked ten times a second while nobody leads, and a dial takes 0.4 to fail.
+OUT_OF_REACH = 1.0
+
+
+def is_cut_off(answered, now):
+    """Tell whether a daemon reaches too few members to see the next primary soon.
+
+    `answered` holds when each member last answered anything. A primary that died leaves
+    the others in reach, and waiting for its successor serves the callers; a daemon on
+    the wrong side of a cut keeps them waiting for nothing, while others could serve
+    them.
+    """
+    reached = sum(now - at < OUT_OF_REACH for at in answered)
+    return 2 * reached < len(answered)
+
 
 def vouches(proof_age):
     """Tell whether a daemon whose last proof is so old vouches for its primary."""
--- a/packages/sessions/gypsum_sessions/confirm.py
+++ b/packages/sessions/gypsum_sessions/confirm.py
@@ -196,7 +196,7 @@
             evidence = await question(item, pooled.conn, position, around.tuning)
         finally:
             item.pool.release(pooled)
-        item.heard()
+        item.heard(around.clock())
         return evidence
     except UpstreamError as exc:
         item.unreachable = item.unreachable or not is_ours(exc)
--- a/packages/sessions/gypsum_sessions/leader.py
+++ b/packages/sessions/gypsum_sessions/leader.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from gypsum_policy.suspicion import OUT_OF_REACH, is_cut_off
 from gypsum_sessions.replies import (
     Refusal,
     UpstreamBusy,
@@ -18,6 +19,8 @@
 from gypsum_sessions.statements import BEGIN_WRITING, ROLLBACK
 
 PART = "leader"
+# How often those who wait for a leader look whether it is worth it, seconds.
+CUT_LOOK = 0.1
 
 
 async def prove_leads(conn, *, timeout):
@@ -73,11 +76,19 @@
         deadline = self.clock() + timeout
         while not self.leader:
             left = deadline - self.clock()
-            if left <= 0:
+            if left <= 0 or self.cut_off():
                 return ""
-            await self.wait_change(left)
+            await self.wait_change(min(left, CUT_LOOK))
         return self.leader
 
+    def cut_off(self):
+        """Tell whether nobody leads and too few members are in reach to wait for it."""
+        now, items = self.clock(), self.group.upstreams.values()
+        since = self.leaderless_since
+        if self.leader or since is None or now - since < OUT_OF_REACH:
+            return False
+        return is_cut_off([item.heard_at for item in items], now)
+
     async def wait_change(self, timeout):
         """Wait until the leader is found or lost."""
         event = self.changed
@@ -95,9 +106,9 @@
             if floor is not None:
                 return floor
             left = deadline - self.clock()
-            if left <= 0:
+            if left <= 0 or self.cut_off():
                 return None
-            await self.wait_proof(left)
+            await self.wait_proof(min(left, CUT_LOOK))
 
     async def wait_proof(self, timeout):
         """Ask for a proof now, and wait for it."""
@@ -198,6 +209,7 @@
             if not exc.at_limit:
                 return None
             self.full_at = self.clock()
+            item.reached(self.clock())
             return self.keep_busy(item.id)
         except UpstreamError as exc:
             self.note("no proof", item.id, error=str(exc))
@@ -218,6 +230,7 @@
             position = await prove_leads(pooled.conn, timeout=self.tuning.ping_timeout)
         finally:
             item.pool.release(pooled)
+        item.reached(self.clock())
         return None if position is None else (item.id, position, asked_at)
 
     def keep_busy(self, target):
@@ -303,6 +316,7 @@
         except UpstreamError as exc:
             if isinstance(exc, UpstreamRefused) and exc.at_limit:
                 self.full_at = self.clock()
+                item.reached(self.clock())
             return None
 
     def found(self, upstream, position, asked_at):
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/reads.py
@@ -245,7 +245,7 @@
         after=job.floor,
     )
     if reply.ok:
-        item.answered(clock() - started, reply.position, around.tuning)
+        item.answered(clock() - started, reply.position, clock(), around.tuning)
     note_refusal(around, item, pooled, reply)
     return reply
 
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/transactions.py
@@ -205,7 +205,9 @@
         if reply.ok:
             item = group.upstreams.get(tx.upstream)
             if item is not None:
-                item.answered(clock() - started, reply.position, group.around.tuning)
+                item.answered(
+                    clock() - started, reply.position, clock(), group.around.tuning
+                )
             return reply
         open_still = reply.state is SessionState.IN_TRANSACTION
         if reply.refusal is not Refusal.BUSY or not open_still:
--- a/packages/sessions/gypsum_sessions/upstreams.py
+++ b/packages/sessions/gypsum_sessions/upstreams.py
@@ -13,13 +13,15 @@
 class Upstream:
     """One upstream as seen from here.
 
-    `unreachable` says that a short question to it was not answered, and nothing since.
     Statements wait in `turns` before they take a connection of the `pool`. `mean` is
-    the mean time of a statement in seconds, `avoid_until` and
-    `lagging_until` times before which others are asked first, `position` the last
-    log position it showed, `lag` the usual time in seconds from a commit to its
-    being applied there. `behind_since` and `behind_at` are the first and the last time
-    at which it lacked a position that a read asked for, since it last had one.
+    the mean time of a statement in seconds, `avoid_until` and `lagging_until` times
+    before which others are asked first, `position` the last log position it showed,
+    `lag` the usual time in seconds from a commit to its being applied there.
+
+    `heard_at` is when it last answered anything, `unreachable` says that a short
+    question to it was not answered, and nothing since. `behind_since` and `behind_at`
+    are the first and the last time at which it lacked a position that a read asked for,
+    since it last had one.
     """
 
     member: Member
@@ -34,18 +36,19 @@
     unreachable: bool = False
     behind_since: float | None = None
     behind_at: float = 0.0
+    heard_at: float = float("-inf")
 
     @property
     def id(self):
         """The upstream's id."""
         return self.member.id
 
-    def answered(self, seconds, position, tuning):
+    def answered(self, seconds, position, now, tuning):
         """Note an answer and the time it took."""
         self.mean += tuning.mean_weight * (seconds - self.mean)
         self.position = position or self.position
         self.behind_since = None
-        self.heard()
+        self.heard(now)
 
     def lacked(self, now, tuning):
         """Note that it lacked a position that a read asked for."""
@@ -73,8 +76,13 @@
         """
         return not self.unreachable and (self.pool.opened or not self.pool.at_limit)
 
-    def heard(self):
+    def reached(self, now):
+        """It answered a question of the watch, over a connection that may be fresh."""
+        self.heard_at = now
+
+    def heard(self, now):
         """It answered something."""
+        self.heard_at = now
         self.unreachable = False
         self.avoid_for = 0.0
         self.avoid_until = 0.0
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/writes.py
@@ -86,7 +86,7 @@
             return lost_write(group, job, item, exc)
         group.stall.end(number, clock())
         if reply.ok:
-            item.answered(clock() - asked_at, reply.position, around.tuning)
+            item.answered(clock() - asked_at, reply.position, clock(), around.tuning)
             if not await is_safe(
                 group, reply.position, item.id, patience=job.left(clock)
             ):
--- a/tests/sessions/test_reach.py
+++ b/tests/sessions/test_reach.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from gypsum_policy.suspicion import VOUCHED_FOR, usable_helpers, vouches
+from gypsum_sessions.replies import Refusal
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 from tests.sessions.writers import check_nothing_lost, write_for
@@ -86,3 +87,40 @@
         assert (await rig.caller("own", cut).send("WRITE a 1")).ok
 
     run(main())
+
+
+def test_a_daemon_on_the_wrong_side_of_a_cut_refuses_at_once():
+    """Symptom: callers wait for most of their time before they may go elsewhere.
+
+    Sequence: a daemon loses a primary's replicas and then the primary, which another
+    daemon has replaced, and the other daemons as well. Cause: it waits for a primary
+    that it could not reach.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        cut, other = rig.proxies
+        rig.links.cut.add(frozenset({cut.name, other.name}))
+        for upstream in ("u1", "u2"):
+            cut_off(rig, cut, upstream)
+        await asyncio.sleep(3.0)
+        for text in ("WRITE a 1", "READ a"):
+            began = rig.loop.time()
+            reply = await rig.caller("primary", cut).send(text)
+            assert reply.refusal is Refusal.BUSY and reply.retry_after_ms
+            assert rig.loop.time() - began < 0.05
+
+    run(main())
+
+
+def test_callers_wait_for_the_successor_of_a_primary_that_died():
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        rig.group["u1"].crash()
+        await asyncio.sleep(1.2)
+        assert not rig.proxy.groups["db"].watch.cut_off()
+        assert (await rig.caller("primary").send("WRITE a 1")).ok
+
+    run(main())
