--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -116,9 +116,18 @@
 
     @property
     def ready(self):
-        """Tell whether callers can be served: routes, upstreams, leases are known."""
+        """Tell whether callers can be served: routes, upstreams, leases are known.
+
+        Not while this daemon is cut off from most of a group: others serve its callers.
+        """
+        if self.draining or self.catalog.version < 0:
+            return False
         listed = self.roster_known and self.board.known_to >= 0
-        return self.catalog.version >= 0 and listed and not self.draining
+        return listed and not self.cut_off()
+
+    def cut_off(self):
+        """Tell whether this daemon does not reach most of a group that it owns."""
+        return any(group.watch.cut_off() for group in self.groups.values())
 
     def offer_catalog(self, candidate, source):
         """Bring a configuration into force if it is newer."""
--- a/tests/sessions/test_reach.py
+++ b/tests/sessions/test_reach.py
@@ -124,3 +124,20 @@
         assert (await rig.caller("primary").send("WRITE a 1")).ok
 
     run(main())
+
+
+def test_a_daemon_that_is_cut_off_takes_no_new_callers():
+    async def main():
+        rig = Rig(daemons=1)
+        await rig.settle()
+        rig.proxy.board.note_known(0)
+        assert rig.proxy.ready
+        for upstream in ("u1", "u2"):
+            cut_off(rig, rig.proxy, upstream)
+        await asyncio.sleep(3.0)
+        assert not rig.proxy.ready
+        rig.proxy.around.dialer.dialer.cut.clear()
+        await asyncio.sleep(2.0)
+        assert rig.proxy.ready
+
+    run(main())
