--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -23,6 +23,7 @@
 from gypsum_sessions.leaseboard import LeaseBoard
 from gypsum_sessions.recorder import MemberRecorder
 from gypsum_sessions.roster import Member
+from tests.sessions.vclock import run
 from tests.standins.objectstore import ObjectStore
 
 
@@ -526,6 +527,11 @@
     def __init__(self, *news):
         self.waiting = list(news)
         self.known = []
+        self.daemons = self
+
+    def watches(self):
+        """This daemon is no watcher."""
+        return False
 
     def current(self, kind):
         """Tell whether there are news."""
@@ -579,3 +585,43 @@
         assert following.known == [1, 5, 6, 9]
 
     with_store(main)
+
+
+def test_followers_leave_a_store_that_is_away_alone():
+    """Symptom: while the store is away the fleet's calls cost as much as its work.
+
+    Sequence: the store refuses every call, no watcher is in touch. Cause: each daemon
+    asks for each kind every second, though the watchers will tell it.
+    """
+
+    class AwayStore:
+        """Refuses everything; counts the calls."""
+
+        calls = 0
+
+        async def watch(self, kind, revision, *, wait_ms):
+            """One watch."""
+            self.calls += 1
+            raise StoreError("away", step="watch", peer="store")
+
+    async def calls_in(seconds, following):
+        store = AwayStore()
+        feed = Feed(
+            store=store,
+            kind="k",
+            take_all=None,
+            take_change=None,
+            log=lambda *args, **fields: None,
+            waker=Waker(),
+            following=following,
+        )
+        feed.revision = 1
+        task = asyncio.create_task(feed.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return store.calls
+
+    watcher = run(calls_in(30.0, None))
+    follower = run(calls_in(30.0, FollowingDouble()))
+    assert watcher > 18
+    assert follower <= 10
