--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -17,9 +17,9 @@
 # seconds. A takeover takes up to three.
 AROUND = 3.0
 # Parts whose events explain a group's state.
-GROUP_PARTS = frozenset({"leader", "takeover", "confirm"})
+GROUP_PARTS = frozenset({"leader", "takeover", "confirm", "reach", "hosting"})
 # Parts whose events explain a daemon's state.
-DAEMON_PARTS = frozenset({"daemon", "drain", "store"})
+DAEMON_PARTS = frozenset({"daemon", "drain", "peers", "relay", "store"})
 CAUSES = {
     "busy": "It has not run: {detail}. The caller was told when to come back.",
     "aborted": "Its transaction was rolled back, nothing is kept: {detail}.",
@@ -41,8 +41,14 @@
 
     @property
     def last(self):
-        """The line that says how the request ended."""
-        return self.way[-1]
+        """The line that says how the request ended, by the daemon that was asked."""
+        ends = [line for line in self.way if line["part"] == "request"]
+        return ends[-1] if ends else self.way[-1]
+
+    @property
+    def daemons(self):
+        """The daemon that was asked, and the owner that it sent the statement to."""
+        return {self.last["daemon"], self.last.get("owner", "")}
 
 
 def explain_request(command):
@@ -87,7 +93,9 @@
 def belongs(line, story):
     """Tell whether an event explains the state that a request met."""
     last = story.last
-    if abs(seconds(line) - seconds(last)) > AROUND or line["daemon"] != last["daemon"]:
+    if abs(seconds(line) - seconds(last)) > AROUND:
+        return False
+    if line["daemon"] not in story.daemons:
         return False
     if line["part"] in DAEMON_PARTS:
         return True
@@ -101,23 +109,25 @@
 
 def describe(story):
     """The story as lines of text."""
-    yield f"request {story.request} at {story.last['daemon']}"
+    home = story.last["daemon"]
+    yield f"request {story.request} at {home}"
     for line in story.way:
-        yield f"  {line_text(line)}"
+        yield f"  {line_text(line, home)}"
     yield cause(story.last)
     if story.around:
         yield "around it:"
     for line in story.around:
-        yield f"  {line_text(line)}"
+        yield f"  {line_text(line, home)}"
 
 
-def line_text(line):
-    """One event as a line of text."""
+def line_text(line, home):
+    """One event as a line of text; it names the daemon if that is not `home`."""
     plain = {"time", "daemon", "part", "event", "request"}
     fields = " ".join(
         f"{name}={value}" for name, value in line.items() if name not in plain
     )
-    return f"{line['time'][11:23]} {line['part']}: {line['event']} {fields}"
+    where = "" if line["daemon"] == home else f"at {line['daemon']} "
+    return f"{line['time'][11:23]} {where}{line['part']}: {line['event']} {fields}"
 
 
 def cause(line):
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -423,6 +423,8 @@
     if job is None:
         return {}
     fields = {"upstreams": job.tried, "served_by": job.served_by}
+    if job.owner:
+        fields["owner"] = job.owner
     if job.floor is not None:
         fields["floor"] = str(job.floor)
         fields["floor_age_ms"] = round(job.floor_age * 1000)
--- a/packages/sessions/gypsum_sessions/remote.py
+++ b/packages/sessions/gypsum_sessions/remote.py
@@ -108,6 +108,7 @@
         """Ask one owner; raises PeerLost. `fresh` tries the link first."""
         if fresh:
             await link.try_out()
+        job.owner = link.peer
         left = job.left(self.around.clock)
         return await link.ask(
             lambda call: Ask(
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -66,3 +66,20 @@
 def test_an_answer_after_several_tries_names_them():
     story = tell("r", [])
     assert story.way == []
+
+
+def test_what_the_owner_saw_is_told_with_the_request():
+    lines = [
+        {"time": f"{BASE}1.000+00:00", "daemon": "d2", "part": "read"}
+        | {"event": "attempt failed", "request": "r", "upstream": "u1"},
+        {"time": f"{BASE}2.000+00:00", "daemon": "d1", "part": "request"}
+        | {"event": "refused", "request": "r", "group": "g", "owner": "d2"}
+        | {"refusal": "busy", "detail": "not run"},
+        {"time": f"{BASE}2.500+00:00", "daemon": "d2", "part": "leader"}
+        | {"event": "lost", "group": "g"},
+        {"time": f"{BASE}2.600+00:00", "daemon": "d3", "part": "leader"}
+        | {"event": "lost", "group": "g"},
+    ]
+    story = tell("r", lines)
+    assert story.last["daemon"] == "d1"
+    assert [line["daemon"] for line in story.around] == ["d2"]
