--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/policy packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
 
-.PHONY: setup test lint format demo demo-platform bench fuzz matrix capacity clean
+.PHONY: ablation setup test lint format demo demo-platform bench fuzz matrix capacity clean
 
 setup: $(STAMP)
 
@@ -30,6 +30,9 @@
 demo-platform: setup
 	$(PY) demo/platform_run.py
 
+ablation: setup
+	$(PY) -m bench.ablation
+
 bench: setup
 	$(PY) -m bench.run
 
--- /dev/null
+++ b/tests/platform/test_registrar.py
@@ -0,0 +1,119 @@
+"""Entries of daemons in the store: written, corrected, removed when one is gone."""
+
+import asyncio
+
+from gypsum_platform.feeds import OwnTaker, Registrar, Waker
+from gypsum_platform.leases import OWN_KIND
+from gypsum_platform.store import Store
+from gypsum_sessions.daemons import DaemonEntry
+from gypsum_sessions.peers import PeerLost
+from tests.platform.test_store import RecallDouble
+from tests.standins.objectstore import ObjectStore
+
+OWN = DaemonEntry(id="d1", domain="a", link="127.0.0.1:5")
+
+
+class PeersDouble:
+    """Links to daemons of which some answer."""
+
+    def __init__(self, *, answering=()):
+        self.answering = answering
+        self.forgotten = []
+
+    async def link(self, name, timeout):
+        """A link, if the daemon answers."""
+        if name not in self.answering:
+            raise PeerLost("no answer", step="dial", peer=name, sent=False)
+
+    def forget(self, name):
+        """The daemon is of no interest any more."""
+        self.forgotten.append(name)
+
+
+def with_registrar(main, answering=()):
+    """Run a test with a registrar over a store of its own."""
+
+    async def body():
+        stand_in = ObjectStore()
+        client = Store(address=stand_in.listen())
+        proxy = RecallDouble()
+        proxy.peers = PeersDouble(answering=answering)
+        taker = OwnTaker(proxy=proxy, own_name="d1")
+        registrar = Registrar(
+            store=client, own=OWN, taker=taker, log=proxy.log, waker=Waker()
+        )
+        try:
+            await main(stand_in, client, registrar, proxy)
+        finally:
+            client.close()
+
+    asyncio.run(body())
+
+
+async def entries(client):
+    """Names and contents of the system's own objects."""
+    objects, _ = await client.list_objects(OWN_KIND)
+    return {obj.name: obj.spec for obj in objects}
+
+
+def test_a_daemon_registers_and_the_first_one_makes_the_key():
+    async def main(stand_in, client, registrar, proxy):
+        await registrar.write_entry()
+        await registrar.write_key()
+        found = await entries(client)
+        assert found["daemon.d1"] == {"domain": "a", "link": "127.0.0.1:5"}
+        key = found["links"]["key"]
+        await registrar.write_key()
+        assert (await entries(client))["links"]["key"] == key
+
+    with_registrar(main)
+
+
+def test_the_entry_of_an_earlier_start_is_corrected():
+    async def main(stand_in, client, registrar, proxy):
+        stand_in.put(OWN_KIND, "daemon.d1", {"domain": "a", "link": "old:1"})
+        await registrar.write_entry()
+        assert (await entries(client))["daemon.d1"]["link"] == "127.0.0.1:5"
+
+    with_registrar(main)
+
+
+async def list_daemon(stand_in, client, registrar, name):
+    """A daemon is registered and listed."""
+    stand_in.put(OWN_KIND, f"daemon.{name}", {"domain": "a", "link": "x:1"})
+    objects, _ = await client.list_objects(OWN_KIND)
+    registrar.taker.take_all(objects)
+
+
+def test_a_daemon_that_does_not_answer_is_removed():
+    async def main(stand_in, client, registrar, proxy):
+        await list_daemon(stand_in, client, registrar, "d2")
+        await registrar.remove_if_silent("d2")
+        assert "daemon.d2" not in await entries(client)
+
+    with_registrar(main)
+
+
+def test_a_daemon_that_answers_once_more_is_kept():
+    """Symptom: the owners of all groups change though no daemon is gone.
+
+    Sequence: a daemon was restarting when somebody needed it, and nobody has since.
+    Cause: the time since the failure counted as silence.
+    """
+
+    async def main(stand_in, client, registrar, proxy):
+        await list_daemon(stand_in, client, registrar, "d2")
+        await registrar.remove_if_silent("d2")
+        assert "daemon.d2" in await entries(client)
+
+    with_registrar(main, answering=("d2",))
+
+
+def test_an_entry_that_has_changed_meanwhile_is_kept():
+    async def main(stand_in, client, registrar, proxy):
+        await list_daemon(stand_in, client, registrar, "d2")
+        stand_in.put(OWN_KIND, "daemon.d2", {"domain": "a", "link": "new:1"})
+        await registrar.remove_if_silent("d2")
+        assert "daemon.d2" in await entries(client)
+
+    with_registrar(main)
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -193,7 +193,12 @@
         self.answer(self.store.put(kind, name, body["spec"]))
 
     def delete(self, kind, name):
-        """Delete the object."""
+        """Delete the object, if it is at the given revision."""
+        known = self.store.kinds.get(kind, {}).get(name)
+        expected = int(self.get_query_argument("revision", "0"))
+        if known is not None and expected not in (0, known["meta"]["revision"]):
+            self.answer(known, 409)
+            return
         known = self.store.remove(kind, name)
         self.answer(known or {"error": "missing"}, 200 if known else 404)
 
