The websocket library writes nothing into the logs; takers and registrar stand apart

Found: test_the_store_is_away_and_a_configuration_comes failed once in three runs on a line 'connection open' of the library, which the sans-I/O protocols write to its own logger; it depends on which daemon opens a link to which. A test in tests/links shows it each time, and fails before.

--- a/packages/links/gypsum_links/frames.py
+++ b/packages/links/gypsum_links/frames.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import hmac
+import logging
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -33,6 +34,11 @@
 SILENCE_MS = 3000
 # A daemon shows its key at once; who has not within this many seconds is none.
 HANDSHAKE_TIMEOUT = 1.0
+# The library writes lines of plain text into logs of which every line is JSON; what it
+# has to say of a link its receiver is told.
+QUIET = logging.getLogger("gypsum_links.websockets")
+QUIET.addHandler(logging.NullHandler())
+QUIET.propagate = False
 
 
 class FrameLink(asyncio.Protocol):
@@ -150,7 +156,9 @@
     """The end of a link that opened it; `opened` is done with the handshake."""
 
     def __init__(self, *, address, daemon, key, receiver):
-        protocol = ClientProtocol(parse_uri(f"ws://{address}"), max_size=MOST_BYTES)
+        protocol = ClientProtocol(
+            parse_uri(f"ws://{address}"), max_size=MOST_BYTES, logger=QUIET
+        )
         super().__init__(protocol=protocol, receiver=receiver)
         self.headers = {DAEMON_HEADER: daemon, KEY_HEADER: key}
         self.opened = asyncio.get_running_loop().create_future()
@@ -214,7 +222,7 @@
     """The end of a link that was opened to us."""
 
     def __init__(self, *, server):
-        super().__init__(protocol=ServerProtocol(max_size=MOST_BYTES))
+        super().__init__(protocol=ServerProtocol(max_size=MOST_BYTES, logger=QUIET))
         self.server = server
 
     def connection_made(self, transport):
--- a/packages/policy/gypsum_policy/relays.py
+++ b/packages/policy/gypsum_policy/relays.py
@@ -17,6 +17,10 @@
 # Changes larger than this are read from the store by each daemon itself, bytes: on a
 # link of 5 Mbit/s a watcher would take a second to pass them to all its followers.
 MOST_BYTES = 32 << 10
+# A follower asks a store that does not answer no more often than this, seconds, and
+# looks this often whether a watcher is in touch again.
+FOLLOWER_PAUSE = 4.0
+FOLLOW_LOOK = 0.25
 
 
 def watcher_count(daemons, domains):
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -138,3 +138,22 @@
         assert receivers == []
 
     asyncio.run(main())
+
+
+def test_the_library_writes_nothing_into_the_logs(caplog):
+    """Symptom: a line of plain text in logs of which every line is JSON.
+
+    Sequence: a daemon opens a link, another one is refused. Cause: the library's own
+    logger tells of both.
+    """
+
+    async def main():
+        address, _, _ = await serve()
+        link = await dialer().dial(address, Receiver(), timeout=5.0)
+        link.close()
+        with pytest.raises(OSError):
+            await dialer("wrong").dial(address, Receiver(), timeout=5.0)
+
+    with caplog.at_level("DEBUG"):
+        asyncio.run(main())
+    assert [item for item in caplog.records if "websockets" in item.name] == []
--- a/tests/platform/test_registrar.py
+++ b/tests/platform/test_registrar.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
-from gypsum_platform.feeds import OwnTaker, Registrar, Waker
+from gypsum_platform.feeds import Waker
 from gypsum_platform.leases import OWN_KIND
+from gypsum_platform.registrar import Registrar
 from gypsum_platform.store import Store
+from gypsum_platform.takers import OwnTaker
 from gypsum_sessions.daemons import DaemonEntry
 from gypsum_sessions.peers import PeerLost
 from tests.platform.test_store import RecallDouble
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gypsum_platform import store as store_module
-from gypsum_platform.feeds import ConfigTaker, Feed, OwnTaker, UpstreamTaker, Waker
+from gypsum_platform.feeds import Feed, Waker
 from gypsum_platform.leases import PlatformPromoter, StoreLeases
 from gypsum_platform.records import StoreRecords
 from gypsum_platform.store import (
@@ -18,6 +18,7 @@
     StoreError,
     read_json,
 )
+from gypsum_platform.takers import ConfigTaker, OwnTaker, UpstreamTaker
 from gypsum_sessions.asks import News
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.leaseboard import LeaseBoard
