--- a/packages/links/gypsum_links/frames.py
+++ b/packages/links/gypsum_links/frames.py
@@ -37,8 +37,7 @@
 # The library writes lines of plain text into logs of which every line is JSON; what it
 # has to say of a link its receiver is told.
 QUIET = logging.getLogger("gypsum_links.websockets")
-QUIET.addHandler(logging.NullHandler())
-QUIET.propagate = False
+QUIET.setLevel(logging.CRITICAL + 1)
 
 
 class FrameLink(asyncio.Protocol):
