--- a/tests/sessions/test_incarnations.py
+++ b/tests/sessions/test_incarnations.py
@@ -3,7 +3,9 @@
 import asyncio
 from dataclasses import replace
 
+from gypsum_policy.succession import choose_successor
 from gypsum_sessions.confirm import known_replicas
+from gypsum_sessions.replies import Refusal
 from gypsum_sessions.roster import Member, Roster
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
@@ -179,3 +181,65 @@
         assert rig.promoter.orders == []
 
     run(main())
+
+
+def test_a_paused_member_that_starts_again_empty_is_not_taken_for_the_paused_one():
+    """Symptom: an empty upstream is promoted, for its pause is remembered.
+
+    Sequence: a takeover pauses both replicas and its order gets no answer; the ordered
+    one starts again, empty, and receives nothing. Cause: that it was paused before
+    made it the choice of the next round, by its name.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        told = []
+        await write_for(rig, rig.proxy, 1.0, told)
+        rig.group["u1"].dark = True
+        control = rig.proxy.takeovers["db"].control
+        paused = await control.pause_all("u1", step_down=False)
+        assert {item.upstream for item in paused} == {"u2", "u3"}
+        rig.group["u3"].restart_empty()
+        rig.group["u3"].deaf = True
+        refresh(rig)
+        again = await control.pause_all("u1", step_down=False)
+        held = {item.upstream: item.held_before for item in again}
+        assert held == {"u2": True, "u3@2": False}
+        assert choose_successor(again, "u3") == "u2"
+
+    run(main())
+
+
+def test_an_empty_replica_confirms_nothing_while_the_list_does_not_tell_of_it():
+    """Symptom: an acknowledged commit is nowhere but at the primary.
+
+    Sequence: the store is away; a replica starts again, empty, and receives nothing;
+    the other one is cut off; a commit waits. Cause: the word of the replica's earlier
+    start counted for its new one.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        told = []
+        await write_for(rig, rig.proxy, 0.5, told)
+        rig.group["u2"].restart_empty()
+        rig.group["u2"].deaf = rig.group["u3"].deaf = True
+        rig.group.sync = 0
+        reply = await rig.caller().send("WRITE late 1")
+        assert reply.refusal is Refusal.IN_DOUBT
+
+    run(main())
+
+
+def test_only_the_end_of_several_starts_is_seen():
+    """The list is read anew after an outage: one start is over that nobody saw."""
+    roster = make_roster()
+    roster.seen(FIRST)
+    third = replace(FIRST, id="u@3", born=3, changed=20)
+    roster.replace_all([third])
+    assert list(roster.members) == ["u@3"]
+    assert roster.members["u@3"].joined == 20
+    roster.replace_all([SECOND])
+    assert list(roster.members) == ["u@3"]
