The sessions' modules in folders that show the way of a request; where to look

Pure moves: callers, execution, upstreams, takeover, daemons; three modules that had their folder's name are upstream.py, attempt.py, registry.py.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -11,11 +11,13 @@
 from unittest.mock import patch
 
 from gypsum_policy import admission
-from gypsum_sessions import group, reasons, writes
-from gypsum_sessions.leader import LeaderWatch
-from gypsum_sessions.reach import Reach
-from gypsum_sessions.replication import ReplicationControl
+from gypsum_sessions.execution import writes
+from gypsum_sessions.takeover import reasons
+from gypsum_sessions.takeover.leader import LeaderWatch
+from gypsum_sessions.takeover.reach import Reach
+from gypsum_sessions.takeover.replication import ReplicationControl
 from gypsum_sessions.tuning import SessionTuning
+from gypsum_sessions.upstreams import group
 from tests.sessions import rig, test_handover, test_lagging, test_return
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
--- a/packages/sessions/gypsum_sessions/borders.py
+++ b/packages/sessions/gypsum_sessions/borders.py
@@ -7,8 +7,8 @@
 
 from gypsum_core.records import Position
 from gypsum_sessions.replies import Reply, UpstreamStatus
-from gypsum_sessions.roster import Member
 from gypsum_sessions.statements import Statement
+from gypsum_sessions.upstreams.roster import Member
 
 Clock = Callable[[], float]
 """Seconds that never run backwards and count time spent suspended."""
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' sessions: their messages, values, transactions, and how they end."""
--- a/packages/sessions/gypsum_sessions/access.py
+++ b/packages/sessions/gypsum_sessions/callers/access.py
@@ -3,12 +3,12 @@
 from typing import Protocol
 
 from gypsum_sessions.catalog import Route
-from gypsum_sessions.jobs import Job
-from gypsum_sessions.reads import run_read
-from gypsum_sessions.remote import RemoteAccess
+from gypsum_sessions.daemons.remote import RemoteAccess
+from gypsum_sessions.execution.jobs import Job
+from gypsum_sessions.execution.reads import run_read
+from gypsum_sessions.execution.transactions import Transaction
+from gypsum_sessions.execution.writes import run_write
 from gypsum_sessions.replies import Reply
-from gypsum_sessions.transactions import Transaction
-from gypsum_sessions.writes import run_write
 
 
 class OpenTransaction(Protocol):
--- a/packages/sessions/gypsum_sessions/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass, field
 
 from gypsum_core.records import Position
-from gypsum_sessions.access import OpenTransaction
+from gypsum_sessions.callers.access import OpenTransaction
 from gypsum_sessions.catalog import Route
-from gypsum_sessions.floors import later
-from gypsum_sessions.jobs import Job
-from gypsum_sessions.pooled import prepared_name
+from gypsum_sessions.execution.jobs import Job
 from gypsum_sessions.replies import Refusal, Reply, SessionState
 from gypsum_sessions.statements import Statement, StatementKind
+from gypsum_sessions.takeover.floors import later
+from gypsum_sessions.upstreams.pooled import prepared_name
 
 PART = "request"
 RUN_AT_UPSTREAM = frozenset(
--- a/packages/sessions/gypsum_sessions/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -7,7 +7,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from gypsum_sessions.asks import (
+from gypsum_sessions.daemons.asks import (
     Answer,
     Ask,
     EndTransaction,
@@ -19,11 +19,11 @@
     decode,
     encode,
 )
-from gypsum_sessions.jobs import Job
-from gypsum_sessions.reads import run_read
+from gypsum_sessions.execution.jobs import Job
+from gypsum_sessions.execution.reads import run_read
+from gypsum_sessions.execution.transactions import Transaction, aborted
+from gypsum_sessions.execution.writes import run_write
 from gypsum_sessions.replies import Refusal, Reply
-from gypsum_sessions.transactions import Transaction, aborted
-from gypsum_sessions.writes import run_write
 
 PART = "owner"
 # Statements of one link that are worked on at once: more than all slots of a group.
--- a/packages/sessions/gypsum_sessions/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from gypsum_sessions.asks import (
+from gypsum_sessions.daemons.asks import (
     Answer,
     Current,
     LeaderAnswer,
--- a/packages/sessions/gypsum_sessions/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -9,8 +9,8 @@
 
 from gypsum_policy.ownership import OwnerView, owners_to_ask
 from gypsum_policy.relays import BEAT_EVERY, MOST_BYTES, SILENT_AFTER
-from gypsum_sessions.asks import Current, Follow, News, encode
-from gypsum_sessions.peers import PeerLost
+from gypsum_sessions.daemons.asks import Current, Follow, News, encode
+from gypsum_sessions.daemons.peers import PeerLost
 
 PART = "relay"
 # Pause before another watcher is looked for, seconds.
--- a/packages/sessions/gypsum_sessions/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 
 from gypsum_policy.ownership import OwnerView, owners_to_ask
-from gypsum_sessions.asks import Answer, Ask, EndTransaction
 from gypsum_sessions.catalog import Route
-from gypsum_sessions.peers import PeerLost
+from gypsum_sessions.daemons.asks import Answer, Ask, EndTransaction
+from gypsum_sessions.daemons.peers import PeerLost
 from gypsum_sessions.replies import Refusal, Reply
 
 PART = "remote"
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Running statements at upstreams: reads, writes, transactions, confirmed commits."""
--- a/packages/sessions/gypsum_sessions/confirm.py
+++ b/packages/sessions/gypsum_sessions/execution/confirm.py
@@ -12,7 +12,7 @@
 
 from gypsum_sessions.replies import Refusal, UpstreamError
 from gypsum_sessions.statements import BEGIN_READING, ROLLBACK, STATUS
-from gypsum_sessions.upstreams import is_ours
+from gypsum_sessions.upstreams.upstream import is_ours
 
 PART = "confirm"
 
--- a/packages/sessions/gypsum_sessions/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -6,9 +6,9 @@
 from gypsum_policy.admission import Hopeless, retry_after_ms
 from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
-from gypsum_sessions.floors import later
-from gypsum_sessions.pooled import bring_level
 from gypsum_sessions.replies import Refusal, Reply, UpstreamError
+from gypsum_sessions.takeover.floors import later
+from gypsum_sessions.upstreams.pooled import bring_level
 
 PART = "read"
 # Refusals that another upstream may well answer differently.
--- a/packages/sessions/gypsum_sessions/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -6,16 +6,20 @@
 
 from gypsum_policy.admission import Hopeless
 from gypsum_sessions.catalog import Route
-from gypsum_sessions.confirm import can_confirm, is_safe
-from gypsum_sessions.group import Group
-from gypsum_sessions.pool import ConnPool
-from gypsum_sessions.pooled import PooledConn, roll_back
-from gypsum_sessions.reads import (
+from gypsum_sessions.execution.confirm import can_confirm, is_safe
+from gypsum_sessions.execution.reads import (
     find_floor,
     no_leader,
     overloaded,
     upstream_order,
 )
+from gypsum_sessions.execution.writes import (
+    NotSent,
+    level,
+    take_live,
+    unconfirmable,
+    unconfirmed,
+)
 from gypsum_sessions.replies import (
     Refusal,
     Reply,
@@ -24,13 +28,9 @@
     UpstreamLost,
 )
 from gypsum_sessions.statements import BEGIN_READING, BEGIN_WRITING
-from gypsum_sessions.writes import (
-    NotSent,
-    level,
-    take_live,
-    unconfirmable,
-    unconfirmed,
-)
+from gypsum_sessions.upstreams.group import Group
+from gypsum_sessions.upstreams.pool import ConnPool
+from gypsum_sessions.upstreams.pooled import PooledConn, roll_back
 
 PART = "transaction"
 # Pause before a statement that the upstream's full queue turned away is sent again.
--- a/packages/sessions/gypsum_sessions/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -3,9 +3,8 @@
 import asyncio
 
 from gypsum_policy.admission import Hopeless
-from gypsum_sessions.confirm import can_confirm, is_safe
-from gypsum_sessions.pooled import bring_level
-from gypsum_sessions.reads import no_leader, overloaded
+from gypsum_sessions.execution.confirm import can_confirm, is_safe
+from gypsum_sessions.execution.reads import no_leader, overloaded
 from gypsum_sessions.replies import (
     NOT_RUN,
     Refusal,
@@ -15,6 +14,7 @@
     UpstreamSilent,
 )
 from gypsum_sessions.statements import ROLLBACK
+from gypsum_sessions.upstreams.pooled import bring_level
 
 PART = "write"
 # Pause after a refusal by the leader, seconds: its queue is full or it steps down.
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -3,18 +3,18 @@
 import asyncio
 
 from gypsum_sessions.borders import LeaseError
+from gypsum_sessions.callers.session import Session
 from gypsum_sessions.catalog import Catalog
-from gypsum_sessions.daemons import DaemonEntry, Daemons
-from gypsum_sessions.group import Surroundings
-from gypsum_sessions.hosting import Hosting
-from gypsum_sessions.leaseboard import LeaseBoard
-from gypsum_sessions.ownerdesk import OwnerDesk
-from gypsum_sessions.peers import Peers
-from gypsum_sessions.recorder import LOOK_EVERY, MemberRecorder
-from gypsum_sessions.relay import Following, Relay
+from gypsum_sessions.daemons.ownerdesk import OwnerDesk
+from gypsum_sessions.daemons.peers import Peers
+from gypsum_sessions.daemons.registry import DaemonEntry, Daemons
+from gypsum_sessions.daemons.relay import Following, Relay
 from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
-from gypsum_sessions.roster import Roster
-from gypsum_sessions.session import Session
+from gypsum_sessions.takeover.leaseboard import LeaseBoard
+from gypsum_sessions.upstreams.group import Surroundings
+from gypsum_sessions.upstreams.hosting import Hosting
+from gypsum_sessions.upstreams.recorder import LOOK_EVERY, MemberRecorder
+from gypsum_sessions.upstreams.roster import Roster
 
 PART = "proxy"
 # How often idle transactions and members that left the list are looked for, seconds.
--- a/packages/sessions/gypsum_sessions/takeover.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -13,11 +13,11 @@
 
 from gypsum_policy.succession import choose_successor
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
-from gypsum_sessions.borrow import borrowed
-from gypsum_sessions.leader import prove_leads
-from gypsum_sessions.reasons import Reason, Reasons
-from gypsum_sessions.replication import ReplicationControl
 from gypsum_sessions.replies import UpstreamError
+from gypsum_sessions.takeover.leader import prove_leads
+from gypsum_sessions.takeover.reasons import Reason, Reasons
+from gypsum_sessions.takeover.replication import ReplicationControl
+from gypsum_sessions.upstreams.borrow import borrowed
 
 PART = "takeover"
 # How often a group is looked at, seconds.
--- a/packages/sessions/gypsum_sessions/reach.py
+++ b/packages/sessions/gypsum_sessions/takeover/reach.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from gypsum_policy.suspicion import ASK_EVERY, usable_helpers, vouches
-from gypsum_sessions.asks import LeaderQuestion
-from gypsum_sessions.peers import PeerLost
+from gypsum_sessions.daemons.asks import LeaderQuestion
+from gypsum_sessions.daemons.peers import PeerLost
 
 PART = "reach"
 # An owner that lives answers within a few milliseconds.
--- a/packages/sessions/gypsum_sessions/replication.py
+++ b/packages/sessions/gypsum_sessions/takeover/replication.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from gypsum_policy.succession import choose_heir
-from gypsum_sessions.borrow import borrowed
 from gypsum_sessions.replies import UpstreamBusy, UpstreamError, UpstreamStatus
 from gypsum_sessions.statements import (
     RESUME_REPLICATION,
@@ -12,6 +11,7 @@
     Statement,
     StatementKind,
 )
+from gypsum_sessions.upstreams.borrow import borrowed
 
 # Unanswered or refused commands to a member are repeated this often per round.
 COMMAND_TRIES = 2
--- a/packages/sessions/gypsum_sessions/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -6,16 +6,16 @@
 from gypsum_policy.ownership import LEAST_CONNECTIONS
 from gypsum_policy.routing import Candidate
 from gypsum_sessions.borders import Clock, Dialer, EventLog
-from gypsum_sessions.daemons import Daemons
-from gypsum_sessions.floors import Floors
-from gypsum_sessions.jobs import ServedBy
-from gypsum_sessions.leader import LeaderWatch
-from gypsum_sessions.leaseboard import LeaseBoard
-from gypsum_sessions.pool import ConnPool
-from gypsum_sessions.stall import WriteStall
+from gypsum_sessions.daemons.registry import Daemons
+from gypsum_sessions.execution.jobs import ServedBy
+from gypsum_sessions.execution.turns import Turns
+from gypsum_sessions.takeover.floors import Floors
+from gypsum_sessions.takeover.leader import LeaderWatch
+from gypsum_sessions.takeover.leaseboard import LeaseBoard
+from gypsum_sessions.takeover.stall import WriteStall
 from gypsum_sessions.tuning import SessionTuning
-from gypsum_sessions.turns import Turns
-from gypsum_sessions.upstreams import Upstream
+from gypsum_sessions.upstreams.pool import ConnPool
+from gypsum_sessions.upstreams.upstream import Upstream
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/sessions/gypsum_sessions/hosting.py
+++ b/packages/sessions/gypsum_sessions/upstreams/hosting.py
@@ -1,10 +1,10 @@
 """The groups that this daemon holds connections to, and its way to all others."""
 
-from gypsum_sessions.access import LocalAccess
-from gypsum_sessions.group import Group
-from gypsum_sessions.reach import Reach
-from gypsum_sessions.remote import RemoteAccess
-from gypsum_sessions.takeover import Takeover
+from gypsum_sessions.callers.access import LocalAccess
+from gypsum_sessions.daemons.remote import RemoteAccess
+from gypsum_sessions.takeover.attempt import Takeover
+from gypsum_sessions.takeover.reach import Reach
+from gypsum_sessions.upstreams.group import Group
 
 PART = "hosting"
 # A group that others own is left when nobody has asked for this long, seconds: longer
--- a/packages/sessions/gypsum_sessions/pool.py
+++ b/packages/sessions/gypsum_sessions/upstreams/pool.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections import deque
 
-from gypsum_sessions.pooled import PooledConn
 from gypsum_sessions.replies import (
     NoFreeConnection,
     Refusal,
     UpstreamLost,
     UpstreamRefused,
 )
+from gypsum_sessions.upstreams.pooled import PooledConn
 
 
 class ConnPool:
--- a/packages/sessions/gypsum_sessions/upstreams.py
+++ b/packages/sessions/gypsum_sessions/upstreams/upstream.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from gypsum_core.records import Position
-from gypsum_sessions.pool import ConnPool
+from gypsum_sessions.execution.turns import Turns
 from gypsum_sessions.replies import NoFreeConnection, UpstreamRefused
-from gypsum_sessions.roster import Member
-from gypsum_sessions.turns import Turns
+from gypsum_sessions.upstreams.pool import ConnPool
+from gypsum_sessions.upstreams.roster import Member
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/platform/test_registrar.py
+++ b/tests/platform/test_registrar.py
@@ -7,8 +7,8 @@
 from gypsum_platform.registrar import Registrar
 from gypsum_platform.store import Store
 from gypsum_platform.takers import OwnTaker
-from gypsum_sessions.daemons import DaemonEntry
-from gypsum_sessions.peers import PeerLost
+from gypsum_sessions.daemons.peers import PeerLost
+from gypsum_sessions.daemons.registry import DaemonEntry
 from tests.platform.test_store import RecallDouble
 from tests.standins.objectstore import ObjectStore
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -19,11 +19,11 @@
     read_json,
 )
 from gypsum_platform.takers import ConfigTaker, OwnTaker, UpstreamTaker
-from gypsum_sessions.asks import News
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
-from gypsum_sessions.leaseboard import LeaseBoard
-from gypsum_sessions.recorder import MemberRecorder
-from gypsum_sessions.roster import Member
+from gypsum_sessions.daemons.asks import News
+from gypsum_sessions.takeover.leaseboard import LeaseBoard
+from gypsum_sessions.upstreams.recorder import MemberRecorder
+from gypsum_sessions.upstreams.roster import Member
 from tests.sessions.vclock import run
 from tests.standins.objectstore import ObjectStore
 
--- a/tests/sessions/breaks.py
+++ b/tests/sessions/breaks.py
@@ -7,15 +7,11 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from gypsum_sessions import (
-    pooled,
-    reads,
-    transactions,
-    writes,
-)
-from gypsum_sessions.floors import Floors
-from gypsum_sessions.replication import Paused, ReplicationControl
+from gypsum_sessions.execution import reads, transactions, writes
 from gypsum_sessions.replies import Refusal, Reply
+from gypsum_sessions.takeover.floors import Floors
+from gypsum_sessions.takeover.replication import Paused, ReplicationControl
+from gypsum_sessions.upstreams import pooled
 
 
 async def pass_on_every_commit(group, position, leader, *, patience):
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -17,8 +17,8 @@
     UpstreamSilent,
     UpstreamStatus,
 )
-from gypsum_sessions.roster import Member
 from gypsum_sessions.statements import StatementKind
+from gypsum_sessions.upstreams.roster import Member
 
 WIRE = 0.001
 PROMOTE_TIME = 0.8
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -6,7 +6,7 @@
 from gypsum_platform.codec import read_statement
 from gypsum_sessions.borders import LeaseError, PromoteOutcome, PromotionLease
 from gypsum_sessions.catalog import CatalogVersion, GroupSpec, ReadRule, Route
-from gypsum_sessions.daemons import DaemonEntry
+from gypsum_sessions.daemons.registry import DaemonEntry
 from gypsum_sessions.proxy import Proxy
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
 from tests.sessions.fakegroup import PROMOTE_TIME, FakeDialer, FakeGroup
--- a/tests/sessions/test_departed.py
+++ b/tests/sessions/test_departed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from gypsum_sessions.takeover import DEPARTED_WAIT
+from gypsum_sessions.takeover.attempt import DEPARTED_WAIT
 from tests.sessions.chaos import keep_listed
 from tests.sessions.fakegroup import PROMOTE_TIME
 from tests.sessions.rig import Rig
--- a/tests/sessions/test_drain.py
+++ b/tests/sessions/test_drain.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from gypsum_platform.codec import read_statement
-from gypsum_sessions.caller import Caller
-from gypsum_sessions.drain import drain, plan_for
+from gypsum_sessions.callers.caller import Caller
+from gypsum_sessions.callers.drain import drain, plan_for
 from gypsum_sessions.replies import Refusal, SessionState
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
--- a/tests/sessions/test_freshness.py
+++ b/tests/sessions/test_freshness.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from gypsum_core.records import Position
-from gypsum_sessions.floors import Floors, later
+from gypsum_sessions.takeover.floors import Floors, later
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
--- a/tests/sessions/test_handover.py
+++ b/tests/sessions/test_handover.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from gypsum_policy.succession import worth_changing
-from gypsum_sessions import reasons
+from gypsum_sessions.takeover import reasons
 from tests.sessions.fakegroup import PROMOTE_TIME
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
--- a/tests/sessions/test_incarnations.py
+++ b/tests/sessions/test_incarnations.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 from gypsum_policy.succession import choose_successor
-from gypsum_sessions.confirm import known_replicas
+from gypsum_sessions.execution.confirm import known_replicas
 from gypsum_sessions.replies import Refusal
-from gypsum_sessions.roster import Member, Roster
+from gypsum_sessions.upstreams.roster import Member, Roster
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 from tests.sessions.writers import check_nothing_lost, write_for
--- a/tests/sessions/test_pool.py
+++ b/tests/sessions/test_pool.py
@@ -5,7 +5,6 @@
 import pytest
 
 from gypsum_policy.ownership import LEAST_CONNECTIONS
-from gypsum_sessions.pool import ConnPool
 from gypsum_sessions.replies import (
     UpstreamError,
     UpstreamLost,
@@ -13,6 +12,7 @@
     UpstreamSilent,
 )
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
+from gypsum_sessions.upstreams.pool import ConnPool
 from tests.sessions.fakegroup import FakeDialer, FakeGroup
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
--- a/tests/sessions/test_recorder.py
+++ b/tests/sessions/test_recorder.py
@@ -3,15 +3,15 @@
 import asyncio
 from dataclasses import replace
 
-from gypsum_sessions.recorder import (
+from gypsum_sessions.replies import Refusal
+from gypsum_sessions.takeover.attempt import LOOK_EVERY as TAKEOVER_LOOK
+from gypsum_sessions.upstreams.recorder import (
     FIRST_RECORD_AFTER,
     LOOK_EVERY,
     RECORD_AFTER,
     RECORD_STEP,
     RETRY_AFTER,
 )
-from gypsum_sessions.replies import Refusal
-from gypsum_sessions.takeover import LOOK_EVERY as TAKEOVER_LOOK
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
--- a/tests/sessions/test_roster.py
+++ b/tests/sessions/test_roster.py
@@ -1,6 +1,6 @@
 """Members come, leave and vanish from the list."""
 
-from gypsum_sessions.roster import Member, Roster
+from gypsum_sessions.upstreams.roster import Member, Roster
 
 
 def member(name, **changes):
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -5,9 +5,9 @@
 
 from gypsum_core.records import Position
 from gypsum_policy.succession import choose_successor
-from gypsum_sessions.daemons import DaemonEntry, Daemons
-from gypsum_sessions.replication import Paused
+from gypsum_sessions.daemons.registry import DaemonEntry, Daemons
 from gypsum_sessions.replies import Refusal, UpstreamStatus
+from gypsum_sessions.takeover.replication import Paused
 from tests.sessions.fakegroup import PROMOTE_TIME
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
