--- a/tests/sessions/breaks.py
+++ b/tests/sessions/breaks.py
@@ -7,6 +7,8 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
+from gypsum_sessions.daemons import remote
+from gypsum_sessions.daemons.remote import RemoteAccess
 from gypsum_sessions.execution import reads, transactions, writes
 from gypsum_sessions.replies import Refusal, Reply
 from gypsum_sessions.takeover.floors import Floors
@@ -66,6 +68,17 @@
 
 KEPT_COMMIT = transactions.commit
 
+
+async def write_that_is_repeated(self, job):
+    """A write is sent to the next owner when its owner is lost."""
+    return await self.run(job, repeats=True)
+
+
+def told_as_rolled_back(exc):
+    """Work that may have reached an upstream is told as rolled back."""
+    return transactions.aborted("broken on purpose")
+
+
 BREAKS = {
     "every commit is passed on": [
         (writes, "is_safe", pass_on_every_commit),
@@ -82,11 +95,22 @@
     ],
 }
 
+# Breaks of the way by owners.
+OWNER_BREAKS = {
+    "lost owners' writes are sent again": [
+        (RemoteAccess, "write", write_that_is_repeated)
+    ],
+    "lost owners' commits are told as rolled back": [
+        (remote, "in_doubt", told_as_rolled_back)
+    ],
+}
+
 
 @contextmanager
 def broken(name):
     """Apply one break."""
-    patches = [patch.object(*change) for change in BREAKS[name]]
+    changes = {**BREAKS, **OWNER_BREAKS}[name]
+    patches = [patch.object(*change) for change in changes]
     for item in patches:
         item.start()
     try:
--- a/tests/sessions/test_chaos.py
+++ b/tests/sessions/test_chaos.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.sessions.breaks import BREAKS, broken
+from tests.sessions.breaks import BREAKS, OWNER_BREAKS, broken
 from tests.sessions.chaos import MORE_TROUBLES, OWNER_TROUBLES, broken_promises
 
 # Seeds that once showed a fault:
@@ -38,6 +38,10 @@
     "own commits are forgotten": 6,
     "lost commits are told as rolled back": 9,
 }
+PLANTED_BY_OWNERS = {
+    "lost owners' writes are sent again": 7,
+    "lost owners' commits are told as rolled back": 7,
+}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -65,5 +69,12 @@
         assert broken_promises(PLANTED[name])
 
 
+@pytest.mark.parametrize("name", list(PLANTED_BY_OWNERS))
+def test_a_break_of_the_way_by_owners_is_noticed(name):
+    with broken(name):
+        assert broken_promises(PLANTED_BY_OWNERS[name], OWNER_TROUBLES, **OWNERS)
+
+
 def test_every_break_is_planted():
     assert set(BREAKS) == set(PLANTED)
+    assert set(OWNER_BREAKS) == set(PLANTED_BY_OWNERS)
