A read that may have run at an owner is not said not to have run

Found on reading: after an owner went silent with a read on its way and no other answered, the refusal said 'not run'. Nothing is kept of a read, so the promise held; its text did not.

--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -64,7 +64,7 @@
             if reply is not None:
                 return reply
             if self.helpers or clock() + ROUND_PAUSE >= until:
-                return no_owner(self.around.tuning)
+                return no_owner(job, self.around.tuning)
             await asyncio.sleep(ROUND_PAUSE)
 
     async def run_round(self, job, *, repeats):
@@ -77,6 +77,7 @@
                 answer = await self.ask(link, job, fresh=not repeats)
             except PeerLost as exc:
                 self.note_lost(job, name, exc)
+                job.may_have_run = job.may_have_run or exc.sent
                 if exc.sent and not repeats:
                     return in_doubt(exc)
                 continue
@@ -245,10 +246,14 @@
     return Reply(refusal=Refusal.ABORTED, detail=f"rolled back, {exc}")
 
 
-def no_owner(tuning):
-    """The refusal of work that no owner took."""
+def no_owner(job, tuning):
+    """The refusal of work that no owner answered; nothing of it is kept.
+
+    A read may have run at an owner that went silent since, so that is not denied.
+    """
+    not_run = "" if job.may_have_run else "not run, "
     return Reply(
         refusal=Refusal.BUSY,
-        detail="not run, no owner of the group can be reached",
+        detail=f"{not_run}no owner of the group answers",
         retry_after_ms=tuning.busy_retry_after_ms,
     )
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -25,7 +25,8 @@
     session's last commit. `leftovers` are attempts still running after the reply.
     `over` says that it was answered: attempts that still wait for a turn give up.
     `tried` are the upstreams asked, in order, `served_by` the one that answered, `role`
-    whether it led then. `owner` is the daemon that it was sent to, if not this one.
+    whether it led then. `owner` is the daemon that it was sent to, if not this one;
+    `may_have_run` says that one was asked that has not answered.
     """
 
     request: str
@@ -44,6 +45,7 @@
     floor_age: float = 0.0
     over: bool = False
     owner: str = ""
+    may_have_run: bool = False
 
     def claim(self):
         """What decides when it comes: its answer is due by its route's target."""
--- a/tests/sessions/test_remote.py
+++ b/tests/sessions/test_remote.py
@@ -253,6 +253,20 @@
     run(main())
 
 
+def test_a_read_that_may_have_run_is_not_said_not_to_have():
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own", rig.others()[0])
+        assert (await caller.send("READ a")).ok
+        for proxy in rig.proxies:
+            rig.links.freeze(proxy.name)
+        reply = await caller.send("READ a")
+        assert reply.refusal is Refusal.BUSY
+        assert "not run" not in reply.detail
+
+    run(main())
+
+
 def test_a_daemon_that_does_not_own_serves_those_who_reach_no_owner():
     """Symptom: a group is out of service although half of the daemons live.
 
