--- a/packages/sessions/gypsum_sessions/callers/access.py
+++ b/packages/sessions/gypsum_sessions/callers/access.py
@@ -69,16 +69,14 @@
     async def read(self, job):
         """Run a read."""
         remote = self.elsewhere()
-        if remote is not None:
-            return await remote.read(job)
-        return await run_read(self.group, job)
+        reply = await remote.read(job) if remote is not None else None
+        return reply or await run_read(self.group, job)
 
     async def write(self, job):
-        """Run a write."""
+        """Run a write; here if no helper took it, to wait for the next primary."""
         remote = self.elsewhere()
-        if remote is not None:
-            return await remote.write(job)
-        return await run_write(self.group, job)
+        reply = await remote.write(job) if remote is not None else None
+        return reply or await run_write(self.group, job)
 
     def begin(self, *, route, writes, arrived):
         """A transaction over our own connections, or those of another owner."""
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -28,7 +28,7 @@
 class RemoteAccess:
     """A group reached over its owners; `peers` holds the links to them.
 
-    With `helpers` only those are asked, as long as they know of a primary.
+    With `helpers` only those are asked, once, as long as they know of a primary.
     """
 
     def __init__(self, *, spec, around, peers, helpers=()):
@@ -54,6 +54,8 @@
     async def run(self, job, *, repeats):
         """Ask the owners in turn until one has an answer, for most of the time left.
 
+        None if no helper had one: nothing was written then.
+
         What goes wrong when all are asked just once: all daemons come back together,
         the owners a moment after the others, whose callers are all turned away.
         """
@@ -63,7 +65,9 @@
             reply = await self.run_round(job, repeats=repeats)
             if reply is not None:
                 return reply
-            if self.helpers or clock() + ROUND_PAUSE >= until:
+            if self.helpers:
+                return None
+            if clock() + ROUND_PAUSE >= until:
                 return no_owner(job, self.around.tuning)
             await asyncio.sleep(ROUND_PAUSE)
 
--- a/tests/sessions/test_reach.py
+++ b/tests/sessions/test_reach.py
@@ -141,3 +141,26 @@
         assert rig.proxy.ready
 
     run(main())
+
+
+def test_callers_wait_for_the_next_primary_when_helpers_have_lost_it_as_well():
+    """Symptom: callers spend their tries within milliseconds of a primary's death.
+
+    Sequence: a daemon loses the primary, another one vouches for it and then loses it
+    too. Cause: that no helper took the statement was passed on as a refusal.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        one, other = rig.proxies
+        cut_off(rig, one, "u1")
+        await asyncio.sleep(1.5)
+        access = one.access("db")
+        assert access.elsewhere() is not None
+        rig.group["u1"].crash()
+        other.groups["db"].watch.lose(rig.loop.clock())
+        reply = await rig.caller("primary", one).send("WRITE a 1")
+        assert reply.refusal is not Refusal.BUSY or "no owner" not in reply.detail
+
+    run(main())
