One copy of what the change wrote twice

The order of a group was worked out anew for each statement sent to an owner: it is kept until the list of daemons changes, as owners were. Followers are a set; FrameServer.close had no caller; the field if_led had no comment.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -21,7 +21,7 @@
 from tests.sessions import rig, test_handover, test_lagging, test_return
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
-from tests.sessions.writers import write_for
+from tests.sessions.writers import start_writers, write_for
 
 NEVER = 1e9
 
@@ -63,7 +63,7 @@
         rig = Rig(daemons=3)
         await rig.settle()
         told, proxy = [], rig.proxies[0]
-        cut(rig, proxy, "u1")
+        rig.cut(proxy, "u1")
         rig.loop.call_later(6.0, proxy.around.dialer.dialer.cut.clear)
         await write_for(rig, proxy, 6.0, told)
         return len([1 for _, refusal, _ in told if refusal is None]) / 6.0
@@ -71,14 +71,6 @@
     return run(main())
 
 
-def cut(rig, proxy, upstream):
-    """A daemon loses its path to an upstream: open connections go silent."""
-    proxy.around.dialer.dialer.cut.add(upstream)
-    for conn in list(rig.group[upstream].conns):
-        if conn.dialer is proxy.around.dialer.dialer:
-            conn.silent = True
-
-
 def leaving_primary():
     """A primary leaves under writes: the longest time without one, seconds."""
 
@@ -86,10 +78,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 5.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 5.0, told)
         await asyncio.sleep(1.0)
         test_handover.leave(rig, "u1")
         await asyncio.gather(*writers)
@@ -132,10 +121,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 6.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 6.0, told)
         for _ in range(2):
             await asyncio.sleep(2.0)
             for member in rig.group.members:
--- a/packages/links/gypsum_links/frames.py
+++ b/packages/links/gypsum_links/frames.py
@@ -254,7 +254,7 @@
 
 
 class FrameServer:
-    """Accepts links; `accept(peer)` makes the receiver of each."""
+    """Accepts links for as long as we run; `accept(peer)` makes a receiver of each."""
 
     def __init__(self, *, key: Callable[[], str], accept, report):
         self.key = key
@@ -277,8 +277,3 @@
             return "no key yet"
         matches = hmac.compare_digest(offered.encode(), key.encode())
         return "" if matches else "wrong key"
-
-    def close(self):
-        """Accept no more links; those that are open end with the process."""
-        if self.server is not None:
-            self.server.close()
--- a/packages/sessions/gypsum_sessions/daemons/asks.py
+++ b/packages/sessions/gypsum_sessions/daemons/asks.py
@@ -20,7 +20,8 @@
     statement still has: clocks of two instances can't be compared. `transaction` is
     the number of the transaction on this link that it belongs to, 0 outside; its
     `first` statement opens it, for writing if `opens_writing`. `values_set`: the caller
-    has set a value inside it, which its end undoes.
+    has set a value inside it, which its end undoes. `if_led`: only from an owner that
+    has proven a primary.
     """
 
     call: int
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from gypsum_policy.ownership import OwnerView, owners_to_ask
 from gypsum_sessions.daemons.asks import (
     Answer,
     Current,
@@ -225,6 +226,24 @@
             return True
         return name in self.avoidance
 
+    def in_turn(self, names, owners):
+        """Other daemons of a group's order in the turn in which we ask them.
+
+        The first `owners` of the names own; see `owners_to_ask`.
+        """
+        own = self.daemons.own
+        views = [
+            OwnerView(
+                name=name,
+                place=place,
+                far=self.daemons.get(name).domain != own.domain,
+                avoided=self.avoided(name),
+            )
+            for place, name in enumerate(names)
+            if name != own.id
+        ]
+        return owners_to_ask(views, owners=owners, daemon=own.id)
+
     def silent_for(self, name):
         """Seconds for which a daemon could not be reached, 0 if it could lately."""
         found = self.avoidance.get(name)
--- a/packages/sessions/gypsum_sessions/daemons/registry.py
+++ b/packages/sessions/gypsum_sessions/daemons/registry.py
@@ -65,19 +65,19 @@
         return self.known.get(name)
 
     def order(self, group, length):
-        """The first daemons in a group's order."""
-        return self.placement.order(group, min(length, len(self.known)))
+        """The first daemons in a group's order; kept until the list changes."""
+        key = (group, min(length, len(self.known)))
+        if key not in self.found:
+            self.found[key] = self.placement.order(*key)
+        return self.found[key]
 
     def owner_count(self, spec):
         """How many daemons own a group."""
         return owner_count(len(self.known), spec.max_connections)
 
     def owners(self, spec):
-        """The daemons that own a group, in its order; kept until the list changes."""
-        key = (spec.name, spec.max_connections)
-        if key not in self.found:
-            self.found[key] = self.order(spec.name, self.owner_count(spec))
-        return self.found[key]
+        """The daemons that own a group, in its order."""
+        return self.order(spec.name, self.owner_count(spec))
 
     def owns(self, spec):
         """Tell whether this daemon owns a group."""
@@ -89,12 +89,9 @@
         return owners.index(self.own.id) if self.own.id in owners else len(owners)
 
     def watchers(self):
-        """The daemons that watch the store; kept until the list changes."""
-        if WATCHERS not in self.found:
-            domains = len({entry.domain for entry in self.known.values()})
-            count = watcher_count(len(self.known), domains)
-            self.found[WATCHERS] = self.order(WATCHERS, count)
-        return self.found[WATCHERS]
+        """The daemons that watch the store."""
+        domains = len(self.placement.domains)
+        return self.order(WATCHERS, watcher_count(len(self.known), domains))
 
     def watches(self):
         """Tell whether this daemon watches the store itself."""
--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -7,7 +7,6 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from gypsum_policy.ownership import OwnerView, owners_to_ask
 from gypsum_policy.relays import BEAT_EVERY, MOST_BYTES, SILENT_AFTER
 from gypsum_sessions.daemons.asks import Current, Follow, News, encode
 from gypsum_sessions.daemons.peers import PeerLost
@@ -41,7 +40,7 @@
         self.clock = clock
         self.in_touch_for = in_touch_for
         self.feeds = {}
-        self.followers = {}
+        self.followers = set()
 
     def feed(self, name):
         """What is known of a feed."""
@@ -76,19 +75,23 @@
 
     def pass_on(self, news):
         """Send news to all who follow, unless they are too large."""
-        followers = [desk for desk in self.followers if not desk.closed]
-        if not followers:
+        if not self.followers:
             return
         data = encode(news)
         if len(data) > MOST_BYTES:
             self.feed(news.feed).until = self.clock() + LEFT_ALONE
             data = encode(self.current())
-        for desk in followers:
+        self.send_all(data)
+
+    def send_all(self, data):
+        """Send a message to all who follow; forget those whose link is gone."""
+        self.followers = {desk for desk in self.followers if not desk.closed}
+        for desk in self.followers:
             desk.frames.send(data)
 
     def follow(self, desk, revisions):
         """A daemon follows from the revisions that it knows."""
-        self.followers[desk] = True
+        self.followers.add(desk)
         for name, revision in revisions.items():
             feed = self.feeds.get(name)
             if feed is None or feed.revision <= revision:
@@ -120,11 +123,8 @@
         """Say which feeds are in touch, for ever."""
         while True:
             await asyncio.sleep(BEAT_EVERY)
-            self.followers = {desk: True for desk in self.followers if not desk.closed}
             if self.followers:
-                data = encode(self.current())
-                for desk in self.followers:
-                    desk.frames.send(data)
+                self.send_all(encode(self.current()))
 
 
 class Following:
@@ -214,7 +214,8 @@
 
     async def choose(self):
         """Follow the first watcher that can be reached."""
-        for name in self.order():
+        watchers = self.daemons.watchers()
+        for name in self.peers.in_turn(watchers, len(watchers)):
             try:
                 link = await self.peers.link(name, LOOK_EVERY)
                 await link.try_out()
@@ -226,19 +227,3 @@
             link.tell(Follow(revisions=dict(self.known)))
             self.log(PART, "following", watcher=name)
             return
-
-    def order(self):
-        """Watchers, the near ones first."""
-        watchers = self.daemons.watchers()
-        own = self.daemons.own
-        views = [
-            OwnerView(
-                name=name,
-                place=place,
-                far=self.daemons.get(name).domain != own.domain,
-                avoided=self.peers.avoided(name),
-            )
-            for place, name in enumerate(watchers)
-            if name != own.id
-        ]
-        return owners_to_ask(views, owners=len(watchers), daemon=own.id)
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -10,10 +10,10 @@
 import asyncio
 from dataclasses import dataclass
 
-from gypsum_policy.ownership import OwnerView, owners_to_ask
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.daemons.asks import Answer, Ask, EndTransaction
 from gypsum_sessions.daemons.peers import PeerLost
+from gypsum_sessions.execution.transactions import aborted
 from gypsum_sessions.replies import Refusal, Reply
 
 PART = "remote"
@@ -95,19 +95,8 @@
             return self.helpers
         daemons = self.around.daemons
         count = daemons.owner_count(self.spec)
-        views = [
-            OwnerView(
-                name=name,
-                place=place,
-                far=daemons.get(name).domain != self.around.domain,
-                avoided=self.peers.avoided(name),
-            )
-            for place, name in enumerate(
-                daemons.order(self.spec.name, count * STAND_INS)
-            )
-            if name != daemons.own.id
-        ]
-        return owners_to_ask(views, owners=count, daemon=daemons.own.id)
+        names = daemons.order(self.spec.name, count * STAND_INS)
+        return self.peers.in_turn(names, count)
 
     async def ask(self, link, job, *, fresh=False, **transaction):
         """Ask one owner; raises PeerLost. `fresh` tries the link first."""
@@ -166,7 +155,7 @@
         except PeerLost as exc:
             await self.close()
             self.access.note_lost(job, exc.peer, exc)
-            return aborted(exc)
+            return aborted(str(exc))
         reply = take(job, answer)
         if not reply.ok:
             self.over = True
@@ -178,7 +167,7 @@
             answer = await self.ask(job)
         except PeerLost as exc:
             self.access.note_lost(job, exc.peer, exc)
-            return in_doubt(exc) if exc.sent and self.wrote else aborted(exc)
+            return in_doubt(exc) if exc.sent and self.wrote else aborted(str(exc))
         finally:
             self.over = True
         return take(job, answer)
@@ -245,11 +234,6 @@
     return Reply(refusal=Refusal.IN_DOUBT, detail=f"may have run, {exc}")
 
 
-def aborted(exc):
-    """Nothing of the transaction is kept: its COMMIT was never sent."""
-    return Reply(refusal=Refusal.ABORTED, detail=f"rolled back, {exc}")
-
-
 def no_owner(job, tuning):
     """The refusal of work that no owner answered; nothing of it is kept.
 
--- a/tests/sessions/chaos.py
+++ b/tests/sessions/chaos.py
@@ -264,7 +264,7 @@
         leader = self.leader()
         leader.cut_from.update(m.id for m in self.rig.group.members if m is not leader)
         if self.rng.random() < 0.5:
-            self.cut(self.rng.choice(self.rig.proxies), leader.id)
+            self.rig.cut(self.rng.choice(self.rig.proxies), leader.id)
 
         def mend():
             leader.cut_from.clear()
@@ -286,16 +286,9 @@
 
     def daemon_cut(self):
         """A daemon loses its path to a member."""
-        self.cut(self.rng.choice(self.rig.proxies), self.member().id)
+        self.rig.cut(self.rng.choice(self.rig.proxies), self.member().id)
         return self.mend_cuts
 
-    def cut(self, proxy, upstream):
-        """Cut one path: open connections go silent, new ones hang."""
-        proxy.around.dialer.dialer.cut.add(upstream)
-        for conn in list(self.rig.group[upstream].conns):
-            if conn.dialer is proxy.around.dialer.dialer:
-                conn.silent = True
-
     def mend_cuts(self):
         """All paths are there again; connections that went silent stay so."""
         for proxy in self.rig.proxies:
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -214,6 +214,14 @@
         """The first daemon."""
         return self.proxies[0]
 
+    def cut(self, proxy, upstream):
+        """A daemon loses its path to an upstream: open connections go silent."""
+        dialer = proxy.around.dialer.dialer
+        dialer.cut.add(upstream)
+        for conn in list(self.group[upstream].conns):
+            if conn.dialer is dialer:
+                conn.silent = True
+
     async def settle(self, timeout=2.0):
         """Wait until every daemon has found a leader."""
         for proxy in self.owners():
--- a/tests/sessions/test_handover.py
+++ b/tests/sessions/test_handover.py
@@ -10,7 +10,7 @@
 from tests.sessions.fakegroup import PROMOTE_TIME
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
-from tests.sessions.writers import check_nothing_lost, write_for
+from tests.sessions.writers import check_nothing_lost, start_writers, write_for
 
 
 def leave(rig, name):
@@ -39,10 +39,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 5.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 5.0, told)
         await asyncio.sleep(1.0)
         leave(rig, "u1")
         await asyncio.gather(*writers)
@@ -95,10 +92,7 @@
     for member in rig.group.replicas():
         member.lag = 30.0
     writes, told, until = [], [], rig.loop.time() + 10.0
-    writers = [
-        asyncio.create_task(write_for(rig, proxy, 10.0, writes))
-        for proxy in rig.proxies
-    ]
+    writers = start_writers(rig, 10.0, writes)
     await asyncio.gather(
         *(
             read_at_random(rig, proxy, Random(number), until, told)
--- a/tests/sessions/test_reach.py
+++ b/tests/sessions/test_reach.py
@@ -9,14 +9,6 @@
 from tests.sessions.writers import check_nothing_lost, write_for
 
 
-def cut_off(rig, proxy, upstream):
-    """A daemon loses its path to an upstream: open connections go silent."""
-    proxy.around.dialer.dialer.cut.add(upstream)
-    for conn in list(rig.group[upstream].conns):
-        if conn.dialer is proxy.around.dialer.dialer:
-            conn.silent = True
-
-
 def test_only_fresh_proofs_vouch():
     assert vouches(0.1) and not vouches(VOUCHED_FOR) and not vouches(None)
     seen = {"a": 9.9, "b": 9.8, "old": 9.9 - VOUCHED_FOR}
@@ -34,7 +26,7 @@
         rig = Rig(daemons=3)
         await rig.settle()
         cut, told = rig.proxies[0], []
-        cut_off(rig, cut, "u1")
+        rig.cut(cut, "u1")
         await asyncio.sleep(1.5)
         await write_for(rig, cut, 4.0, told)
         assert all(refusal is None for _, refusal, _ in told)
@@ -54,7 +46,7 @@
         await rig.settle()
         places = [proxy.takeovers["db"].place() for proxy in rig.proxies]
         first = rig.proxies[places.index(0)]
-        cut_off(rig, first, "u1")
+        rig.cut(first, "u1")
         await asyncio.sleep(8.0)
         assert rig.group.promotions == []
 
@@ -77,7 +69,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         cut = rig.proxies[0]
-        cut_off(rig, cut, "u1")
+        rig.cut(cut, "u1")
         await asyncio.sleep(1.5)
         access = cut.access("db")
         assert access.elsewhere() is not None
@@ -103,7 +95,7 @@
         cut, other = rig.proxies
         rig.links.cut.add(frozenset({cut.name, other.name}))
         for upstream in ("u1", "u2"):
-            cut_off(rig, cut, upstream)
+            rig.cut(cut, upstream)
         await asyncio.sleep(3.0)
         for text in ("WRITE a 1", "READ a"):
             began = rig.loop.time()
@@ -133,7 +125,7 @@
         rig.proxy.board.note_known(0)
         assert rig.proxy.ready
         for upstream in ("u1", "u2"):
-            cut_off(rig, rig.proxy, upstream)
+            rig.cut(rig.proxy, upstream)
         await asyncio.sleep(3.0)
         assert not rig.proxy.ready
         rig.proxy.around.dialer.dialer.cut.clear()
@@ -154,7 +146,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         one, other = rig.proxies
-        cut_off(rig, one, "u1")
+        rig.cut(one, "u1")
         await asyncio.sleep(1.5)
         access = one.access("db")
         assert access.elsewhere() is not None
--- a/tests/sessions/test_remote.py
+++ b/tests/sessions/test_remote.py
@@ -28,6 +28,14 @@
     return caller.session.tx.link.peer
 
 
+async def open_transaction(rig):
+    """A caller with a write in a transaction by way of an owner, and that owner."""
+    caller = rig.caller("own", rig.others()[0])
+    await caller.send("BEGIN")
+    assert (await caller.send("WRITE a 1")).ok
+    return caller, owner_of(caller)
+
+
 def first_owner(rig):
     """The name of the owner that the first other daemon asks first."""
     return rig.others()[0].access("db").owners()[0]
@@ -145,10 +153,7 @@
 
     async def main():
         rig = await make_rig()
-        caller = rig.caller("own", rig.others()[0])
-        await caller.send("BEGIN")
-        assert (await caller.send("WRITE a 1")).ok
-        owner = owner_of(caller)
+        caller, owner = await open_transaction(rig)
         rig.links.freeze(owner)
         assert (await caller.send("READ a")).refusal is Refusal.ABORTED
         rig.links.thaw(owner)
@@ -165,10 +170,7 @@
 def test_a_commit_at_an_owner_that_is_killed_is_in_doubt():
     async def main():
         rig = await make_rig()
-        caller = rig.caller("own", rig.others()[0])
-        await caller.send("BEGIN")
-        assert (await caller.send("WRITE a 1")).ok
-        owner = owner_of(caller)
+        caller, owner = await open_transaction(rig)
         committing = asyncio.create_task(caller.send("COMMIT"))
         await asyncio.sleep(0.005)
         rig.links.kill(owner)
@@ -216,10 +218,8 @@
 def test_an_owner_that_has_to_end_says_so_to_the_next_statement():
     async def main():
         rig = await make_rig()
-        caller = rig.caller("own", rig.others()[0])
-        await caller.send("BEGIN")
-        assert (await caller.send("WRITE a 1")).ok
-        for desk in rig.links.proxies[owner_of(caller)].desks:
+        caller, owner = await open_transaction(rig)
+        for desk in rig.links.proxies[owner].desks:
             desk.end_waiting()
         await asyncio.sleep(0.05)
         assert (await caller.send("COMMIT")).refusal is Refusal.ABORTED
@@ -231,9 +231,7 @@
 def test_a_caller_that_leaves_ends_its_transaction_at_the_owner():
     async def main():
         rig = await make_rig()
-        caller = rig.caller("own", rig.others()[0])
-        await caller.send("BEGIN")
-        assert (await caller.send("WRITE a 1")).ok
+        caller, _ = await open_transaction(rig)
         await rig.others()[0].close_session(caller.session)
         await asyncio.sleep(0.1)
         assert all(not desk.held for proxy in rig.owners() for desk in proxy.desks)
--- a/tests/sessions/test_settling.py
+++ b/tests/sessions/test_settling.py
@@ -6,7 +6,7 @@
 from gypsum_sessions.borders import PromoteOutcome, PromotionLease
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
-from tests.sessions.writers import check_nothing_lost, write_for
+from tests.sessions.writers import check_nothing_lost, start_writers, write_for
 
 
 def test_replicas_paused_by_a_late_order_are_resumed():
@@ -44,10 +44,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 8.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 8.0, told)
         await asyncio.sleep(1.0)
         rig.group["u1"].cut_from.update({"u2", "u3"})
         rig.promoter.late = [2.0]
--- a/tests/sessions/test_takeover.py
+++ b/tests/sessions/test_takeover.py
@@ -13,6 +13,7 @@
 from tests.sessions.vclock import run
 from tests.sessions.writers import (
     check_nothing_lost,
+    start_writers,
     write_for,
     writes_resumed_after,
 )
@@ -55,10 +56,7 @@
         rig = Rig(daemons=3)
         await rig.settle()
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 6.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 6.0, told)
         await asyncio.sleep(1.0)
         rig.group["u1"].dark = True
         await asyncio.gather(*writers)
@@ -199,10 +197,7 @@
         rig = Rig(daemons=2)
         await rig.settle()
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 8.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 8.0, told)
         await asyncio.sleep(1.0)
         rig.group["u1"].cut_from.update({"u2", "u3"})
         await asyncio.gather(*writers)
@@ -218,10 +213,7 @@
         await rig.settle()
         rig.promoter.late = [4.0, 2.5]
         told = []
-        writers = [
-            asyncio.create_task(write_for(rig, proxy, 15.0, told))
-            for proxy in rig.proxies
-        ]
+        writers = start_writers(rig, 15.0, told)
         await asyncio.sleep(1.0)
         rig.group["u1"].dark = True
         await asyncio.gather(*writers)
--- a/tests/sessions/writers.py
+++ b/tests/sessions/writers.py
@@ -18,6 +18,14 @@
         await asyncio.sleep(0.01)
 
 
+def start_writers(rig, seconds, told):
+    """A writer at each daemon; the tasks."""
+    return [
+        asyncio.create_task(write_for(rig, proxy, seconds, told))
+        for proxy in rig.proxies
+    ]
+
+
 def check_nothing_lost(rig, told):
     """Everything acknowledged is in the leader's log, and nothing twice."""
     kept = [data for item in rig.group.leader.log for _, data in item.writes]
