--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -17,6 +17,9 @@
 # After news that were too large to pass on a feed is not vouched for this long,
 # seconds: followers read them from the store meanwhile.
 LEFT_ALONE = 2.0
+# A daemon that knows less than its watcher for this long says so, seconds: news of
+# small changes are taken in within milliseconds.
+BEHIND_TOLD = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -140,6 +143,8 @@
         self.vouched = {}
         self.waiting = {}
         self.known = {}
+        self.behind_since = {}
+        self.behind_told = set()
         self.changed = asyncio.Event()
 
     def knows(self, feed, revision):
@@ -190,10 +195,39 @@
 
     # The loop
 
+    def look_behind(self):
+        """Say for which feeds the watcher knows more than this daemon has taken in.
+
+        What goes wrong without it: a daemon serves by an old configuration, and nothing
+        in its logs or metrics tells it from one that is up to date.
+        """
+        now = self.clock()
+        for feed, known in self.known.items():
+            vouched = self.vouched.get(feed, -1)
+            if vouched <= known:
+                self.behind_since.pop(feed, None)
+                if feed in self.behind_told:
+                    self.behind_told.discard(feed)
+                    self.log(PART, "caught up", feed=feed, known=known)
+                continue
+            age = now - self.behind_since.setdefault(feed, now)
+            if age >= BEHIND_TOLD and feed not in self.behind_told:
+                self.behind_told.add(feed)
+                self.log(
+                    PART,
+                    "behind",
+                    feed=feed,
+                    known=known,
+                    vouched=vouched,
+                    seconds=round(age, 2),
+                    taken_for_current=self.current(feed),
+                )
+
     async def run(self):
         """Follow a watcher, another one when it falls silent, for ever."""
         while True:
             await asyncio.sleep(LOOK_EVERY)
+            self.look_behind()
             if self.daemons.watches():
                 self.leave()
             elif self.link is None or self.silent():
--- a/packages/sessions/gypsum_sessions/measures.py
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -41,6 +41,12 @@
             registry=self.registry,
         )
 
+        self.feeds = Gauge(
+            "gypsum_feed",
+            "Revision of each feed: known here, and vouched for by the watcher.",
+            registry=self.registry,
+        )
+
     def observe(self, route, statement, reply, seconds, served_by):
         """Count one statement; `served_by` is empty if the proxy answered itself."""
         labels = {"database": route.database, "rule": str(route.rule)}
@@ -56,6 +62,11 @@
         self.state.set({"what": "open"}, len(proxy.sessions))
         self.state.set({"what": "configuration"}, proxy.catalog.version)
         self.state.set({"what": "lines_dropped"}, dropped_lines)
+        following = proxy.following
+        for name, revision in following.known.items():
+            self.feeds.set({"feed": name, "what": "known"}, revision)
+            vouched = following.vouched.get(name, -1)
+            self.feeds.set({"feed": name, "what": "vouched"}, vouched)
         for group in proxy.groups.values():
             for item in group.upstreams.values():
                 labels = {"group": group.name, "upstream": item.id}
