--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -9,13 +9,18 @@
 
 LIST_SIZE = 500
 MAX_VALUE = 1 << 20
+# Bytes that a slow link carries at a time, and seconds for which a silent one is so.
+TRICKLE_BYTES = 8 << 10
+STALL_SECONDS = 60.0
 
 
 class ObjectStore:
     """Objects by kind and name, one rising revision, a history for watches.
 
     `refuse` is a status that every call gets; `silent` holds every answer back, `slow`
-    for some seconds; `lose` is how many writes are done and not answered.
+    for some seconds; `lose` is how many writes are done and not answered; `rate` is how
+    many bytes a second each answer comes in, 0 for at once; `stall_after` is how many
+    bytes come before an answer stands still, 0 for none that does.
     """
 
     def __init__(self):
@@ -27,6 +32,8 @@
         self.silent = False
         self.slow = 0.0
         self.lose = 0
+        self.rate = 0
+        self.stall_after = 0
         self.calls = []
         self.changed = asyncio.Event()
         self.promote = None
@@ -116,6 +123,24 @@
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body))
 
+    async def deliver(self, body):
+        """Answer as over a slow link, or one that goes silent in the middle."""
+        if not (self.store.rate or self.store.stall_after):
+            self.answer(body)
+            return
+        data = json.dumps(body).encode()
+        self.set_header("Content-Length", str(len(data)))
+        sent = 0
+        while sent < len(data):
+            if self.store.stall_after and sent >= self.store.stall_after:
+                await asyncio.sleep(STALL_SECONDS)
+            self.write(data[sent : sent + TRICKLE_BYTES])
+            await self.flush()
+            sent += TRICKLE_BYTES
+            if self.store.rate:
+                await asyncio.sleep(TRICKLE_BYTES / self.store.rate)
+        self.finish()
+
 
 class KindHandler(StoreHandler):
     """Lists, watches, creates."""
@@ -131,7 +156,7 @@
         items = [self.store.kinds[kind][name] for name in names[:LIST_SIZE]]
         more = len(names) > LIST_SIZE
         body = {"items": items, "more": more, "storeRevision": self.store.revision}
-        self.answer(body)
+        await self.deliver(body)
 
     async def watch(self, kind, since):
         """Changes since a revision, as soon as there is one."""
@@ -150,7 +175,7 @@
             if events or left <= 0:
                 break
             await self.wait(left)
-        self.answer({"events": events, "storeRevision": self.store.revision})
+        await self.deliver({"events": events, "storeRevision": self.store.revision})
 
     async def wait(self, seconds):
         """Wait for a change."""
