--- a/packages/cli/gypsum_cli/apply.py
+++ b/packages/cli/gypsum_cli/apply.py
@@ -10,22 +10,22 @@
 from gypsum_cli.manifests import KIND, check_change, differences, read_manifest
 from gypsum_cli.options import AsJson, ManifestFile, PlatformUrl
 from gypsum_cli.output import fail, show
-from gypsum_cli.service import open_platform, stored_manifest
+from gypsum_cli.service import platform_at, stored_manifest
 from gypsum_platform.client import PlatformError, PutAnswer
 
 
 async def apply(command):
     """Write a manifest on condition that nobody else has changed it."""
     manifest = read_manifest(command.manifest)
-    async with open_platform(command.platform) as client:
-        stored = await client.get_object(KIND, manifest.database)
-        if command.expect is not None and command.expect != stored.version:
-            return conflict(manifest, command.expect, stored)
-        old = stored_manifest(stored)
-        check_change(old, manifest)
-        if old is not None and not differences(old, manifest):
-            return report(command, manifest.database, stored.version, changed=False)
-        answer = await put(client, manifest, expect=stored.version)
+    client = platform_at(command.platform)
+    stored = await client.get_object(KIND, manifest.database)
+    if command.expect is not None and command.expect != stored.version:
+        return conflict(manifest, command.expect, stored)
+    old = stored_manifest(stored)
+    check_change(old, manifest)
+    if old is not None and not differences(old, manifest):
+        return report(command, manifest.database, stored.version, changed=False)
+    answer = await put(client, manifest, expect=stored.version)
     if not answer.accepted:
         return conflict(manifest, stored.version, answer.current)
     return report(command, manifest.database, answer.current.version, changed=True)
--- a/packages/cli/gypsum_cli/diff.py
+++ b/packages/cli/gypsum_cli/diff.py
@@ -8,14 +8,14 @@
 from gypsum_cli.manifests import KIND, differences, read_manifest
 from gypsum_cli.options import AsJson, ManifestFile, PlatformUrl
 from gypsum_cli.output import show
-from gypsum_cli.service import open_platform, stored_manifest
+from gypsum_cli.service import platform_at, stored_manifest
 
 
 async def diff(command):
     """Compare a manifest file with what the platform holds."""
     manifest = read_manifest(command.manifest)
-    async with open_platform(command.platform) as client:
-        stored = await client.get_object(KIND, manifest.database)
+    client = platform_at(command.platform)
+    stored = await client.get_object(KIND, manifest.database)
     lines = differences(stored_manifest(stored), manifest)
     data = {
         "database": manifest.database,
--- a/packages/cli/gypsum_cli/service.py
+++ b/packages/cli/gypsum_cli/service.py
@@ -1,7 +1,6 @@
 """Access to the platform and to daemons for the subcommands."""
 
 import json
-from contextlib import asynccontextmanager
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
@@ -16,14 +15,9 @@
     """A daemon did not answer as it should."""
 
 
-@asynccontextmanager
-async def open_platform(url):
-    """A client of the platform, closed afterwards."""
-    client = PlatformClient(base_url=url, timeout=TIMEOUT)
-    try:
-        yield client
-    finally:
-        client.close()
+def platform_at(url):
+    """A client of the platform."""
+    return PlatformClient(base_url=url, timeout=TIMEOUT)
 
 
 def stored_manifest(stored):
--- a/packages/cli/gypsum_cli/status.py
+++ b/packages/cli/gypsum_cli/status.py
@@ -9,13 +9,13 @@
 from gypsum_cli.manifests import KIND
 from gypsum_cli.options import AsJson, OperatorAddresses, PlatformUrl
 from gypsum_cli.output import show
-from gypsum_cli.service import DaemonError, call_daemon, open_platform
+from gypsum_cli.service import DaemonError, call_daemon, platform_at
 
 
 async def status(command):
     """Compare the accepted versions with those in force on daemons."""
-    async with open_platform(command.platform) as client:
-        listing = await client.list_objects(KIND)
+    client = platform_at(command.platform)
+    listing = await client.list_objects(KIND)
     accepted = {item.name: item.version for item in listing.objects}
     daemons = await asyncio.gather(*(ask(address) for address in command.daemon))
     behind = [item["address"] for item in daemons if lags(item, accepted)]
--- a/packages/daemon/gypsum_daemon/feed.py
+++ b/packages/daemon/gypsum_daemon/feed.py
@@ -69,7 +69,6 @@
         """Stop watching."""
         for task in list(self.tasks):
             task.cancel()
-        self.client.close()
 
     async def follow_instances(self):
         """Read the instance list once, and at intervals while we watch.
--- a/tests/platform/test_registrar.py
+++ b/tests/platform/test_registrar.py
@@ -44,10 +44,7 @@
         registrar = Registrar(
             store=client, own=OWN, taker=taker, log=proxy.log, waker=Waker()
         )
-        try:
-            await main(stand_in, client, registrar, proxy)
-        finally:
-            client.close()
+        await main(stand_in, client, registrar, proxy)
 
     asyncio.run(body())
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -34,11 +34,7 @@
 
     async def body():
         stand_in = ObjectStore()
-        client = Store(address=stand_in.listen())
-        try:
-            await main(stand_in, client)
-        finally:
-            client.close()
+        await main(stand_in, Store(address=stand_in.listen()))
 
     asyncio.run(body())
 
