--- a/tests/sessions/fakelinks.py
+++ b/tests/sessions/fakelinks.py
@@ -9,6 +9,7 @@
 class FakeLinks:
     """All links of a rig; `frozen` daemons neither read nor answer.
 
+    `rate` is how many bytes a second each daemon can send, 0 for any number.
     Between the two of each pair in `cut` everything is lost, and nobody is told.
     """
 
@@ -19,6 +20,17 @@
         self.dead = set()
         self.cut = set()
         self.open = []
+        self.rate = 0
+        self.busy_until = {}
+
+    def delay(self, daemon, size):
+        """Seconds until bytes that a daemon sends now have left it."""
+        if not self.rate:
+            return 0.0
+        now = self.loop.time()
+        until = max(now, self.busy_until.get(daemon, now)) + size / self.rate
+        self.busy_until[daemon] = until
+        return until - now
 
     def apart(self, one, other):
         """Tell whether nothing comes from one daemon to the other."""
@@ -89,16 +101,30 @@
         self.other = None
         self.receiver = None
         self.waiting = []
+        self.unsent = 0
         links.open.append(self)
 
+    @property
+    def backlog(self):
+        """Bytes that wait to be sent."""
+        return self.unsent
+
     def send(self, data):
-        """Send a message."""
+        """Send a message, after what its daemon has sent before if links are slow."""
         if not self.alive:
             return False
+        delay = self.links.delay(self.at, len(data))
+        if delay:
+            self.unsent += len(data)
+            self.links.loop.call_later(delay, self.sent, len(data))
         if not self.links.apart(self.at, self.to) or self.to in self.links.frozen:
-            self.links.loop.call_later(WAY, self.other.arrive, data)
+            self.links.loop.call_later(delay + WAY, self.other.arrive, data)
         return True
 
+    def sent(self, size):
+        """Bytes have left."""
+        self.unsent -= size
+
     def arrive(self, data):
         """A message came; a frozen daemon reads it later."""
         if self.at in self.links.frozen:
--- /dev/null
+++ b/tests/sessions/feedrig.py
@@ -0,0 +1,225 @@
+"""Daemons that keep feeds of one store in virtual time, watching it or not."""
+
+import asyncio
+import json
+from random import Random
+
+from gypsum_platform.feeds import Feed, Waker
+from gypsum_platform.store import Change, HistoryGone, StoredObject, StoreError
+from tests.sessions.rig import Rig
+
+KINDS = ("config", "servers")
+# One way to the store and back, seconds.
+ANSWER = 0.004
+# What a link of 5 Mbit/s carries, bytes a second.
+SLOW_LINK = 600_000
+
+
+class VirtualStore:
+    """Objects by kind, one rising revision, a history; a mode for each client.
+
+    A daemon in `busy` is turned away at once, one in `silent` gets no answer; `rate` is
+    how many bytes a second an answer comes in, 0 for at once.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self.kinds = {kind: {} for kind in KINDS}
+        self.history = []
+        self.changed = asyncio.Event()
+        self.busy = set()
+        self.silent = set()
+        self.rate = 0
+        self.oldest = 0
+
+    def put(self, kind, name, spec):
+        """Write an object."""
+        self.revision += 1
+        known = self.kinds[kind].get(name)
+        obj = StoredObject(
+            name=name,
+            revision=self.revision,
+            spec=spec,
+            created=known.created if known else self.revision,
+        )
+        self.kinds[kind][name] = obj
+        self.note(kind, Change(obj=obj, deleted=False))
+
+    def remove(self, kind, name):
+        """Delete an object, if it is there."""
+        obj = self.kinds[kind].pop(name, None)
+        if obj is not None:
+            self.revision += 1
+            self.note(kind, Change(obj=obj, deleted=True))
+
+    def note(self, kind, change):
+        """Keep a change for watches and wake them."""
+        self.history.append((self.revision, kind, change))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        """Drop the history: watches from before get an error."""
+        self.history.clear()
+        self.oldest = self.revision
+
+
+class VirtualClient:
+    """One daemon's client of the store, as `gypsum_platform.store.Store` is."""
+
+    def __init__(self, *, store, daemon):
+        self.store = store
+        self.daemon = daemon
+        self.calls = 0
+
+    async def arrive(self, step, timeout):
+        """A call reaches the store, or fails."""
+        self.calls += 1
+        await asyncio.sleep(ANSWER)
+        if self.daemon in self.store.silent:
+            await asyncio.sleep(timeout)
+            raise StoreError("silent", step=step, peer="store")
+        if self.daemon in self.store.busy:
+            raise StoreError("turned away", step=step, peer="store")
+
+    async def carry(self, objects):
+        """An answer comes over the daemon's link."""
+        if self.store.rate:
+            size = sum(len(json.dumps(obj.spec)) for obj in objects)
+            await asyncio.sleep(size / self.store.rate)
+
+    async def list_objects(self, kind):
+        """All objects of a kind, and the store's revision."""
+        await self.arrive("list", 2.0)
+        objects, revision = list(self.store.kinds[kind].values()), self.store.revision
+        await self.carry(objects)
+        return objects, revision
+
+    async def watch(self, kind, since, *, wait_ms):
+        """Changes since a revision, as soon as there is one."""
+        wait = wait_ms / 1000
+        await self.arrive("watch", wait + 1.0)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait
+        while not (found := self.found(kind, since)) and loop.time() < until:
+            event = self.store.changed
+            try:
+                async with asyncio.timeout(until - loop.time()):
+                    await event.wait()
+            except TimeoutError:
+                break
+        if self.daemon in self.store.silent:
+            await asyncio.sleep(1.0)
+            raise StoreError("silent", step="watch", peer="store")
+        if self.daemon in self.store.busy:
+            raise StoreError("cut off", step="watch", peer="store")
+        revision = self.store.revision
+        await self.carry([change.obj for change in found])
+        return found, revision
+
+    def found(self, kind, since):
+        """Changes of a kind since a revision."""
+        if since < self.store.oldest:
+            raise HistoryGone("history is gone", step="watch", peer="store")
+        return [
+            change
+            for revision, changed, change in self.store.history
+            if revision > since and changed == kind
+        ]
+
+
+class Copy:
+    """What one daemon has taken in of a kind: specs by name."""
+
+    def __init__(self):
+        self.specs = {}
+
+    def take_all(self, objects):
+        """The whole list."""
+        self.specs = {obj.name: obj.spec for obj in objects}
+
+    def take_change(self, change):
+        """A changed or deleted object."""
+        if change.deleted:
+            self.specs.pop(change.obj.name, None)
+        else:
+            self.specs[change.obj.name] = change.obj.spec
+
+
+class FeedRig:
+    """A rig whose daemons keep feeds; `copies` is what each knows of each kind."""
+
+    def __init__(self, *, daemons=15, seed=1, **options):
+        self.store = VirtualStore()
+        self.store.put("config", "main", {"version": 1})
+        for number in range(6):
+            self.store.put("servers", f"s{number}", {"address": f"a:{number}"})
+        self.rig = Rig(daemons=daemons, max_connections=9, **options)
+        self.links = self.rig.links
+        self.copies = {}
+        self.clients = {}
+        for number, proxy in enumerate(self.rig.proxies):
+            self.start(proxy, Random(f"{seed}:{number}"))
+
+    def start(self, proxy, rng):
+        """Run a daemon's feeds."""
+        waker = Waker()
+        client = VirtualClient(store=self.store, daemon=proxy.name)
+        self.clients[proxy.name] = client
+        self.copies[proxy.name] = {kind: Copy() for kind in KINDS}
+        for kind, copy in self.copies[proxy.name].items():
+            feed = Feed(
+                store=client,
+                kind=kind,
+                take_all=copy.take_all,
+                take_change=copy.take_change,
+                log=proxy.log,
+                waker=waker,
+                relay=proxy.relay,
+                following=proxy.following,
+            )
+            feed.rng = rng
+            proxy.keep_running(feed.run)
+        proxy.keep_running(proxy.relay.run)
+        proxy.keep_running(proxy.following.run)
+
+    @property
+    def followers(self):
+        """Names of the daemons that do not watch the store."""
+        return [p.name for p in self.rig.proxies if not p.daemons.watches()]
+
+    @property
+    def watchers(self):
+        """Names of the daemons that watch the store."""
+        return [p.name for p in self.rig.proxies if p.daemons.watches()]
+
+    def behind(self):
+        """Daemons and kinds that lack something of the store."""
+        return [
+            (name, kind)
+            for name, copies in self.copies.items()
+            if name not in self.links.dead
+            for kind, copy in copies.items()
+            if copy.specs
+            != {obj.name: obj.spec for obj in self.store.kinds[kind].values()}
+        ]
+
+    async def in_force(self, within):
+        """Wait until nobody lacks anything; AssertionError if that takes longer."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + within
+        while self.behind():
+            assert loop.time() < until, self.behind()
+            await asyncio.sleep(0.05)
+
+
+def large_config(version, routes=1600):
+    """A configuration too large to be passed on as it is, names as good as random."""
+    rng = Random(version)
+    return {
+        "version": version,
+        "routes": [
+            {"name": f"{rng.getrandbits(40):x}", "group": "g", "timeoutMs": 1000}
+            for _ in range(routes)
+        ],
+    }
--- /dev/null
+++ b/tests/sessions/test_feeds_behind.py
@@ -0,0 +1,232 @@
+"""Daemons that missed changes of the store, and how they come to know them."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from tests.sessions.feedrig import KINDS, SLOW_LINK, FeedRig, large_config
+from tests.sessions.vclock import run
+
+# Within this a change is in force at whoever reaches the store or a daemon that does,
+# seconds: the users' bound on large deployments.
+BOUND = 5.0
+# Until then daemons that follow have ended the first watch of their own, seconds.
+SETTLED = 6.0
+
+
+def test_a_follower_that_missed_a_large_change_does_not_rest():
+    """Seven of 74 daemons served by configuration 4 to the 23rd second, when 16 was in
+    force everywhere else, and asked the store nothing: "relay behind feed=config
+    known=... vouched=... taken_for_current=True". The store had turned them away while
+    the change was made, which was too large to be passed on. Once it was over, their
+    watcher vouched for a revision above theirs, and they took that for being current.
+    """
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        rig.store.busy.update(rig.followers[:5])
+        rig.store.put("config", "main", large_config(2))
+        await asyncio.sleep(4.0)
+        rig.store.busy.clear()
+        await rig.in_force(BOUND)
+
+    run(main())
+
+
+def test_a_small_change_after_a_gap_does_not_hide_the_gap():
+    """Symptom: an upstream that came is never known to some daemons.
+
+    Sequence: a daemon misses a large change while it does not reach the store, then
+    takes in a small one that is passed on. Cause: news did not say from which revision
+    on they count, and it called itself caught up to theirs.
+    """
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        rig.store.busy.update(rig.followers[:5])
+        for number in range(400):
+            rig.store.put("servers", f"n{number}", {"address": f"b:{number}" * 10})
+        await asyncio.sleep(0.5)
+        rig.store.put("servers", "last", {"address": "c:1"})
+        await asyncio.sleep(3.0)
+        rig.store.busy.clear()
+        await rig.in_force(BOUND)
+
+    run(main())
+
+
+@pytest.mark.parametrize("trouble", ["busy", "silent"])
+def test_who_does_not_reach_the_store_gets_large_lists_from_a_watcher(trouble):
+    """Symptom: a daemon refuses a route that was added 15 s before.
+
+    Sequence: the store turns a third of the daemons away, or is silent to them, and a
+    large change is made. Cause: whoever could pass it on did not, for its size.
+    """
+
+    async def main():
+        rig = FeedRig()
+        rig.links.rate = SLOW_LINK
+        rig.store.rate = SLOW_LINK
+        await asyncio.sleep(SETTLED)
+        getattr(rig.store, trouble).update(rig.followers[:5])
+        await asyncio.sleep(1.0)
+        rig.store.put("config", "main", large_config(2))
+        await rig.in_force(BOUND)
+
+    run(main())
+
+
+def test_a_watcher_that_does_not_reach_the_store_follows_another():
+    """Symptom: a daemon serves by an old configuration while all others have the new.
+
+    Sequence: the store turns away a daemon that watches it. Cause: watchers asked
+    nobody but the store.
+    """
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        rig.store.busy.add(rig.watchers[0])
+        await asyncio.sleep(1.0)
+        rig.store.put("config", "main", large_config(2))
+        await rig.in_force(BOUND)
+
+    run(main())
+
+
+def test_a_watcher_that_is_turned_away_is_left_for_one_that_is_not():
+    """Symptom: as above, all those who follow one watcher.
+
+    Sequence: the store turns away the watcher and its followers. Cause: the watcher
+    was left only when it fell silent, not when it had nothing to tell.
+    """
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        rig.store.busy.add(rig.watchers[0])
+        rig.store.busy.update(rig.followers)
+        await asyncio.sleep(1.0)
+        rig.store.put("config", "main", {"version": 2})
+        rig.store.put("servers", "new", {"address": "n:1"})
+        await rig.in_force(BOUND)
+
+    run(main())
+
+
+def test_who_watches_again_passes_on_all_that_it_missed_as_a_watcher():
+    """Symptom: an upstream that was replaced long ago is known to a few daemons.
+
+    Sequence: a watcher follows another one for a while, watches again, and a daemon
+    begins to follow it. Cause: what it had taken in meanwhile was not in the list that
+    it passed on.
+    """
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        first, second = rig.watchers
+        rig.store.busy.add(first)
+        await asyncio.sleep(1.0)
+        for number in range(3):
+            rig.store.remove("servers", f"s{number}")
+            rig.store.put("servers", f"t{number}", {"address": f"t:{number}"})
+        await asyncio.sleep(3.0)
+        rig.store.busy.clear()
+        await asyncio.sleep(6.0)
+        rig.store.busy.update([second, *rig.followers])
+        rig.store.put("servers", "late", {"address": "l:1"})
+        await rig.in_force(BOUND)
+
+    run(main())
+
+
+def test_a_calm_fleet_leaves_the_store_to_its_watchers():
+    """Followers that are up to date make no calls, also while other kinds change."""
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        before = {name: rig.clients[name].calls for name in rig.followers}
+        for number in range(40):
+            rig.store.put("servers", f"s{number % 6}", {"address": f"z:{number}"})
+            await asyncio.sleep(0.5)
+        await rig.in_force(BOUND)
+        after = {name: rig.clients[name].calls for name in rig.followers}
+        assert after == before
+
+    run(main())
+
+
+def change(rig, rng):
+    """Change something of the store."""
+    store, number = rig.store, rng.randrange(8)
+    match rng.choice(("small", "small", "large", "many", "remove", "forget")):
+        case "small":
+            store.put("servers", f"s{number}", {"address": f"x:{rng.random()}"})
+        case "large":
+            store.put("config", "main", large_config(rng.randrange(1 << 30)))
+        case "many":
+            for name in range(300):
+                store.put("servers", f"m{name}", {"address": f"y:{rng.random()}" * 5})
+        case "remove":
+            store.remove("servers", f"s{number}")
+        case "forget":
+            store.forget_history()
+
+
+def trouble(rig, rng):
+    """Let some daemons lose the store, a daemon freeze, or all be well."""
+    names = list(rig.copies)
+    some = rng.sample(names, len(names) // 3)
+    match rng.choice(("busy", "silent", "watchers", "freeze", "well", "well")):
+        case "busy":
+            rig.store.busy.update(some)
+        case "silent":
+            rig.store.silent.update(some)
+        case "watchers":
+            rig.store.busy.update(rng.sample(rig.watchers, 1))
+        case "freeze":
+            rig.links.freeze(rng.choice(names))
+        case "well":
+            well(rig)
+
+
+def well(rig):
+    """All daemons run and reach the store."""
+    rig.store.busy.clear()
+    rig.store.silent.clear()
+    for name in list(rig.links.frozen):
+        rig.links.thaw(name)
+
+
+@pytest.mark.parametrize("daemons", [15, 6])
+@pytest.mark.parametrize("seed", range(12))
+def test_nobody_stays_behind_whatever_happens(seed, daemons):
+    """Changes, small and large, while the store is out of reach for some, daemons
+    freeze, and watchers change: who is in touch with anybody who knows better is
+    not behind for longer than the bound.
+    """
+
+    async def main():
+        rng = Random(seed)
+        rig = FeedRig(daemons=daemons, seed=seed)
+        rig.links.rate = rig.store.rate = rng.choice((0, SLOW_LINK))
+        await asyncio.sleep(SETTLED)
+        for _ in range(40):
+            rng.choice((change, change, trouble))(rig, rng)
+            await asyncio.sleep(rng.choice((0.01, 0.1, 0.7, 3.0)))
+        for name in list(rig.links.frozen):
+            rig.links.thaw(name)
+        reaching = set(rig.watchers) - rig.store.busy - rig.store.silent
+        if not reaching:
+            well(rig)
+        await asyncio.sleep(BOUND)
+        change(rig, rng)
+        await rig.in_force(2 * BOUND)
+        assert set(KINDS) == set(rig.copies[rig.rig.proxy.name])
+
+    run(main())
