A follower is current only with its watcher's last change; large lists come in pieces

Cause: a follower took itself for current when its watcher vouched for at least what it knew, and nothing said from which revision news count. One that missed a large change, which nobody passes on, rested on the old configuration until the next one. Class: progress of a stream compared where its gaps were meant. Elsewhere: a daemon that follows and then watches again passed on lists without what it had missed; a watcher without the store asked nobody; followers stayed with a watcher that had nothing to tell; a follower waited four seconds at a silent store for what it knew to be there. Change: a watcher tells since which revision a feed has not changed, and news from which revision they count. Who lacks that change is behind, asks the store with a short wait, and, if it does not answer, its watcher for the whole list: packed, in pieces of 8 kB, as fast as the link takes them. Watchers without the store follow others; who has nothing to tell is left. What was followed is not passed on: who watches again lists anew. up to how many daemons all watch is a setting. Two tests of test_relay.py said that who knows more than its watcher is not current: replaced, for it is sure to hear of all that follows; the new ones check that it does, and that a gap is not taken.

--- a/packages/links/gypsum_links/frames.py
+++ b/packages/links/gypsum_links/frames.py
@@ -92,11 +92,16 @@
         """The other end's part of the handshake."""
         raise NotImplementedError
 
+    @property
+    def backlog(self):
+        """Bytes that wait to be sent."""
+        return self.transport.get_write_buffer_size() if self.alive else 0
+
     def send(self, data):
         """Send a message; False if the link is gone or too slow."""
         if not self.alive:
             return False
-        if self.transport.get_write_buffer_size() > BACKLOG_BYTES:
+        if self.backlog > BACKLOG_BYTES:
             self.end("too slow")
             return False
         self.protocol.send_binary(data)
--- a/packages/policy/gypsum_policy/relays.py
+++ b/packages/policy/gypsum_policy/relays.py
@@ -1,9 +1,10 @@
-"""Which daemons watch the store, and which follow them.
+"""Which daemons watch the store, which follow them, and when a follower is current.
 
 Load pattern: a store that takes some hundred calls a second, and counts a watch that
 waits as one. If every daemon watches, calls grow with the fleet: 91 daemons made 5,900
 in a minute. A few watchers in each failure domain pass on what they learn; the others
-watch themselves only while no watcher is in touch with the store.
+ask the store themselves only while no watcher is in touch with it, or while they are
+behind. Whoever does not reach the store follows a daemon that does.
 """
 
 # Watchers in each failure domain: the loss of one leaves one near.
@@ -14,17 +15,50 @@
 BEAT_EVERY = 0.4
 # A watcher that has said nothing for this long is left for another: three beats lost.
 SILENT_AFTER = 1.3
-# Changes larger than this are read from the store by each daemon itself, bytes: on a
-# link of 5 Mbit/s a watcher would take a second to pass them to all its followers.
+# A watcher that has spoken and is not in touch with the store is left after this, and
+# not followed again for a while, seconds: one beat lost, and the time in which the
+# other watchers have been asked.
+USELESS_AFTER = 0.6
+USELESS_FOR = 3.0
+# Changes larger than this are not passed on, but told of, bytes: on a link of 5 Mbit/s
+# a watcher would take a second to pass them to all its followers. Each reads them from
+# the store; those that do not reach it ask for the whole list in pieces.
 MOST_BYTES = 32 << 10
+# A piece takes a link of 5 Mbit/s 13 ms, which is what a statement on the same link
+# waits; the next one is sent once no more than this waits to be sent.
+PIECE_BYTES = 8 << 10
+PIECE_PAUSE = 0.01
+# A whole list that was asked for and has not come is asked for again after this,
+# seconds: in pieces a configuration of 1,600 routes takes a tenth of it.
+FETCH_AGAIN = 2.0
 # A follower asks a store that does not answer no more often than this, seconds, and
 # looks this often whether a watcher is in touch again.
 FOLLOWER_PAUSE = 4.0
 FOLLOW_LOOK = 0.25
 
 
-def watcher_count(daemons, domains):
-    """How many of the daemons watch the store."""
-    if daemons <= FEW_DAEMONS:
+def watcher_count(daemons, domains, few=FEW_DAEMONS):
+    """How many of the daemons watch the store; up to `few` all do."""
+    if daemons <= few:
         return daemons
     return min(daemons, WATCHERS_PER_DOMAIN * domains)
+
+
+def is_current(known, since):
+    """Tell whether who knows a feed up to `known` has all of a watcher's changes.
+
+    `since` is the revision of the watcher's last change. What goes wrong with the
+    revision that the watcher knows the feed up to: a follower that missed a change is
+    below it, and so is one that missed none; with "at least as much as I know" the
+    first rests on what it has, with "the same" the second asks the store for ever.
+    """
+    return known >= since
+
+
+def continues(known, since, revision):
+    """Tell whether changes between two revisions follow on what is known.
+
+    What goes wrong without it: the changes before `since` are missing for as long as
+    the process runs, since it takes itself for caught up to `revision`.
+    """
+    return since <= known < revision
--- a/packages/sessions/gypsum_sessions/daemons/asks.py
+++ b/packages/sessions/gypsum_sessions/daemons/asks.py
@@ -86,23 +86,51 @@
     revisions: dict[str, int]
 
 
+class Unfollow(Struct, frozen=True, kw_only=True, array_like=True, tag="unfollow"):
+    """Pass on nothing any more."""
+
+
 class News(Struct, frozen=True, kw_only=True, array_like=True, tag="news"):
     """What is new in a feed up to a revision: objects by name, and those removed.
 
-    If it is `whole` there are no other objects.
+    All changes after `since` are in it. If it is `whole` there are no other objects.
     """
 
     feed: str
     revision: int
     changed: dict[str, dict]
+    since: int = 0
     removed: tuple[str, ...] = ()
     whole: bool = False
 
 
+class FeedState(Struct, frozen=True, kw_only=True, array_like=True):
+    """How far a feed is known: up to `revision`, with no change after `since`."""
+
+    since: int
+    revision: int
+
+
 class Current(Struct, frozen=True, kw_only=True, array_like=True, tag="current"):
-    """Feeds for which the sender is in touch with the store, and their revisions."""
+    """Feeds for which the sender is in touch with the store."""
+
+    feeds: dict[str, FeedState]
+
 
-    feeds: dict[str, int]
+class Fetch(Struct, frozen=True, kw_only=True, array_like=True, tag="fetch"):
+    """Send a feed's whole list, however large."""
+
+    feed: str
+
+
+class Piece(Struct, frozen=True, kw_only=True, array_like=True, tag="piece"):
+    """One of `total` pieces of a packed list; `number` counts from 0."""
+
+    feed: str
+    revision: int
+    number: int
+    total: int
+    data: bytes
 
 
 Message = (
@@ -113,19 +141,22 @@
     | LeaderQuestion
     | LeaderAnswer
     | Follow
+    | Unfollow
     | News
     | Current
+    | Fetch
+    | Piece
 )
 
 
 def encode(message):
     """A message as bytes."""
-    return cbor2.dumps(to_builtins(message))
+    return cbor2.dumps(to_builtins(message, builtin_types=(bytes,)))
 
 
 def decode(data):
     """A message from bytes; raises MessageError for what is none."""
     try:
-        return convert(cbor2.loads(data), type=Message)
+        return convert(cbor2.loads(data), type=Message, builtin_types=(bytes,))
     except (cbor2.CBORDecodeError, ValidationError, ValueError, TypeError) as exc:
         raise MessageError(f"no message: {exc}") from exc
--- a/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -11,11 +11,13 @@
     Answer,
     Ask,
     EndTransaction,
+    Fetch,
     Follow,
     LeaderAnswer,
     LeaderQuestion,
     Leaving,
     MessageError,
+    Unfollow,
     decode,
     encode,
 )
@@ -75,6 +77,10 @@
             self.tell_leader(message)
         elif isinstance(message, Follow):
             self.proxy.relay.follow(self, message.revisions)
+        elif isinstance(message, Unfollow):
+            self.proxy.relay.unfollow(self)
+        elif isinstance(message, Fetch):
+            self.proxy.spawn(self.proxy.relay.send_whole(self, message.feed))
 
     def lost(self, why):
         """The link is gone: so is all that it had."""
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -17,6 +17,7 @@
     Leaving,
     MessageError,
     News,
+    Piece,
     decode,
     encode,
 )
@@ -59,6 +60,8 @@
     """One open link to another daemon."""
 
     alive: bool
+    # Bytes that wait to be sent.
+    backlog: int
 
     def send(self, data: bytes) -> bool:
         """Send a message in turn; False if the link takes no more."""
@@ -114,6 +117,8 @@
             self.following.news(message)
         elif isinstance(message, Current) and self.following is not None:
             self.following.beat(message)
+        elif isinstance(message, Piece) and self.following is not None:
+            self.following.piece(message)
 
     def lost(self, why):
         """The link is gone, and all that waits with it."""
--- a/packages/sessions/gypsum_sessions/daemons/registry.py
+++ b/packages/sessions/gypsum_sessions/daemons/registry.py
@@ -4,7 +4,7 @@
 
 from gypsum_core.placement import Placement
 from gypsum_policy.ownership import connection_share, owner_count
-from gypsum_policy.relays import watcher_count
+from gypsum_policy.relays import FEW_DAEMONS, watcher_count
 
 # The watchers' place in the order of daemons; no group has such a name.
 WATCHERS = "\x00watchers"
@@ -26,12 +26,14 @@
 class Daemons:
     """All known daemons, this one included, in one order for each group.
 
+    Up to `all_watch_up_to` of them all watch the store.
     `listed` says that the list has been read: before, this daemon would take itself for
     the owner of everything.
     """
 
-    def __init__(self, *, own):
+    def __init__(self, *, own, all_watch_up_to=FEW_DAEMONS):
         self.own = own
+        self.all_watch_up_to = all_watch_up_to
         self.listed = False
         self.known = {own.id: own}
         self.placement = Placement()
@@ -91,7 +93,8 @@
     def watchers(self):
         """The daemons that watch the store."""
         domains = len(self.placement.domains)
-        return self.order(WATCHERS, watcher_count(len(self.known), domains))
+        count = watcher_count(len(self.known), domains, self.all_watch_up_to)
+        return self.order(WATCHERS, count)
 
     def watches(self):
         """Tell whether this daemon watches the store itself."""
--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -1,88 +1,110 @@
-"""News of the store, passed on from daemons that watch it to those that follow them.
+"""News of the store, passed on from a daemon that watches it to those that follow.
 
 A feed is one kind of objects, named by a word; its objects are passed on as they are.
-News of a feed come in the order of the store's revisions, or as a whole list.
 """
 
 import asyncio
 from dataclasses import dataclass, field
 
-from gypsum_policy.relays import BEAT_EVERY, MOST_BYTES, SILENT_AFTER
-from gypsum_sessions.daemons.asks import Current, Follow, News, encode
-from gypsum_sessions.daemons.peers import PeerLost
-
-PART = "relay"
-# Pause before another watcher is looked for, seconds.
-LOOK_EVERY = 0.2
-# After news that were too large to pass on a feed is not vouched for this long,
-# seconds: followers read them from the store meanwhile.
-LEFT_ALONE = 2.0
-# A daemon that knows less than its watcher for this long says so, seconds: news of
-# small changes are taken in within milliseconds.
-BEHIND_TOLD = 1.0
+from gypsum_policy.relays import BEAT_EVERY, MOST_BYTES, PIECE_BYTES, PIECE_PAUSE
+from gypsum_sessions.daemons.asks import Current, FeedState, News, Piece, encode
+from gypsum_sessions.daemons.packing import pack
 
 
 @dataclass(slots=True, kw_only=True)
 class KnownFeed:
-    """What a watcher knows of a feed: its objects by name, and up to which revision.
+    """What a watcher knows of a feed: its objects by name, and how far.
 
-    `touched_at` is when the store last answered, `until` how long the feed is not
-    vouched for.
+    It is known up to `revision`, and has not changed since `since`. `touched_at` is
+    when the store last answered; `pieces` is the packed list, made when asked for.
     """
 
     objects: dict = field(default_factory=dict)
     revision: int = 0
+    since: int = 0
     touched_at: float = float("-inf")
-    until: float = float("-inf")
+    pieces: list[Piece] = field(default_factory=list)
 
 
 class Relay:
-    """The watcher's side: keeps feeds, and passes their news on to those who follow."""
+    """Keeps feeds, and passes their news on to those who follow."""
 
     def __init__(self, *, clock, in_touch_for):
         self.clock = clock
         self.in_touch_for = in_touch_for
         self.feeds = {}
         self.followers = set()
+        self.sending = set()
+
+    # What this daemon learns of the store
 
-    def feed(self, name):
-        """What is known of a feed."""
-        return self.feeds.setdefault(name, KnownFeed())
+    def knows(self, name):
+        """Tell whether all of a feed is kept here."""
+        return name in self.feeds
+
+    def forget(self, name):
+        """This daemon learns of a feed without us: what is kept here is out of date.
+
+        What goes wrong without it: a daemon follows for a while, watches again, and
+        passes on a list without what changed in between.
+        """
+        self.feeds.pop(name, None)
 
     def touched(self, name):
         """The store has answered for a feed."""
-        self.feed(name).touched_at = self.clock()
+        self.feeds.setdefault(name, KnownFeed()).touched_at = self.clock()
+
+    def out_of_touch(self, name):
+        """The store did not answer for a feed: nothing is vouched for until it does."""
+        if name in self.feeds:
+            self.feeds[name].touched_at = float("-inf")
 
     def take_all(self, name, objects, revision):
         """A whole list came: objects by name."""
-        feed = self.feed(name)
+        feed = self.feeds.setdefault(name, KnownFeed())
+        same = feed.revision and feed.objects == objects
         feed.objects, feed.revision = dict(objects), revision
+        if same:
+            return
+        self.changed(feed)
         self.pass_on(News(feed=name, revision=revision, whole=True, changed=objects))
 
     def take_changes(self, name, changed, removed, revision):
         """Changes came: objects by name, and names of those removed."""
-        feed = self.feed(name)
+        feed = self.feeds[name]
         feed.objects.update(changed)
         for gone in removed:
             feed.objects.pop(gone, None)
-        feed.revision = revision
-        if changed or removed:
-            self.pass_on(
-                News(
-                    feed=name,
-                    revision=revision,
-                    changed=changed,
-                    removed=tuple(removed),
-                )
+        before, feed.revision = feed.revision, revision
+        if not changed and not removed:
+            return
+        self.changed(feed)
+        self.pass_on(
+            News(
+                feed=name,
+                since=before,
+                revision=revision,
+                changed=changed,
+                removed=tuple(removed),
             )
+        )
+
+    def changed(self, feed):
+        """A feed is another one since the revision that it is known up to."""
+        feed.since = feed.revision
+        feed.pieces = []
+
+    # What others learn of it
 
     def pass_on(self, news):
-        """Send news to all who follow, unless they are too large."""
+        """Send news to all who follow; of those that are too large only that they are.
+
+        Who reads that a feed has changed since what it knows asks the store, or us.
+        """
         if not self.followers:
             return
         data = encode(news)
         if len(data) > MOST_BYTES:
-            self.feed(news.feed).until = self.clock() + LEFT_ALONE
             data = encode(self.current())
         self.send_all(data)
 
@@ -97,167 +119,80 @@
         self.followers.add(desk)
         for name, revision in revisions.items():
             feed = self.feeds.get(name)
-            if feed is None or feed.revision <= revision:
+            if feed is None or revision >= feed.since:
                 continue
-            data = encode(
-                News(
-                    feed=name,
-                    revision=feed.revision,
-                    whole=True,
-                    changed=feed.objects,
-                )
+            whole = News(
+                feed=name, revision=feed.revision, whole=True, changed=feed.objects
             )
+            data = encode(whole)
             if len(data) <= MOST_BYTES:
                 desk.frames.send(data)
         desk.frames.send(encode(self.current()))
 
+    def unfollow(self, desk):
+        """A daemon follows no more."""
+        self.followers.discard(desk)
+
     def current(self):
-        """Feeds that are in touch with the store, and up to which revision."""
+        """Feeds that are in touch with the store, and how far they are known."""
         now = self.clock()
         return Current(
             feeds={
-                name: feed.revision
+                name: FeedState(since=feed.since, revision=feed.revision)
                 for name, feed in self.feeds.items()
-                if now - feed.touched_at < self.in_touch_for and now >= feed.until
+                if feed.revision and now - feed.touched_at < self.in_touch_for
             }
         )
 
-    async def run(self):
-        """Say which feeds are in touch, for ever."""
-        while True:
-            await asyncio.sleep(BEAT_EVERY)
-            if self.followers:
-                self.send_all(encode(self.current()))
-
-
-class Following:
-    """The other side: follows one watcher at a time, a near one if there is one."""
+    async def send_whole(self, desk, name):
+        """Send a feed's whole list in pieces, as fast as the link takes them.
 
-    def __init__(self, *, daemons, peers, clock, log):
-        self.daemons = daemons
-        self.peers = peers
-        self.clock = clock
-        self.log = log
-        self.link = None
-        self.heard_at = float("-inf")
-        self.vouched = {}
-        self.waiting = {}
-        self.known = {}
-        self.behind_since = {}
-        self.behind_told = set()
-        self.changed = asyncio.Event()
-
-    def knows(self, feed, revision):
-        """This daemon knows a feed up to a revision."""
-        self.known[feed] = revision
-
-    def current(self, feed):
-        """Tell whether a watcher vouches for all that this daemon knows of a feed."""
-        if self.link is None or self.clock() - self.heard_at > SILENT_AFTER:
-            return False
-        return self.vouched.get(feed, -1) >= self.known.get(feed, 0)
-
-    async def next(self, feed):
-        """The next news of a feed; None once no watcher vouches for it any more."""
-        while True:
-            waiting = self.waiting.setdefault(feed, [])
-            while waiting:
-                news = waiting.pop(0)
-                if news.revision > self.known.get(feed, 0):
-                    return news
-            if not self.current(feed):
-                return None
-            event = self.changed
-            try:
-                async with asyncio.timeout(SILENT_AFTER):
-                    await event.wait()
-            except TimeoutError:
-                continue
-
-    # From the link
-
-    def news(self, message):
-        """News of a feed came."""
-        self.waiting.setdefault(message.feed, []).append(message)
-        self.vouched[message.feed] = message.revision
-        self.tell()
-
-    def beat(self, message):
-        """The watcher says which feeds are in touch."""
-        self.heard_at = self.clock()
-        self.vouched = dict(message.feeds)
-        self.tell()
-
-    def tell(self):
-        """Wake who waits for news."""
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    # The loop
-
-    def look_behind(self):
-        """Say for which feeds the watcher knows more than this daemon has taken in.
-
-        What goes wrong without it: a daemon serves by an old configuration, and nothing
-        in its logs or metrics tells it from one that is up to date.
+        What goes wrong in one go: statements of the same link wait behind it.
         """
-        now = self.clock()
-        for feed, known in self.known.items():
-            vouched = self.vouched.get(feed, -1)
-            if vouched <= known:
-                self.behind_since.pop(feed, None)
-                if feed in self.behind_told:
-                    self.behind_told.discard(feed)
-                    self.log(PART, "caught up", feed=feed, known=known)
-                continue
-            age = now - self.behind_since.setdefault(feed, now)
-            if age >= BEHIND_TOLD and feed not in self.behind_told:
-                self.behind_told.add(feed)
-                self.log(
-                    PART,
-                    "behind",
-                    feed=feed,
-                    known=known,
-                    vouched=vouched,
-                    seconds=round(age, 2),
-                    taken_for_current=self.current(feed),
+        if (desk, name) in self.sending:
+            return
+        self.sending.add((desk, name))
+        try:
+            while not await self.send_pieces(desk, name):
+                pass
+        finally:
+            self.sending.discard((desk, name))
+
+    async def send_pieces(self, desk, name):
+        """Send what is known now; False if it has changed meanwhile."""
+        feed = self.feeds.get(name)
+        if feed is None:
+            return True
+        since = feed.since
+        for piece in self.packed(name, feed):
+            while desk.frames.backlog > PIECE_BYTES:
+                await asyncio.sleep(PIECE_PAUSE)
+            if desk.closed or desk not in self.followers:
+                return True
+            if feed.since != since:
+                return False
+            desk.frames.send(encode(piece))
+        return True
+
+    def packed(self, name, feed):
+        """The pieces of a feed's list; all who ask for the same one share them."""
+        if not feed.pieces:
+            parts = pack(feed.objects)
+            feed.pieces = [
+                Piece(
+                    feed=name,
+                    revision=feed.revision,
+                    number=number,
+                    total=len(parts),
+                    data=data,
                 )
+                for number, data in enumerate(parts)
+            ]
+        return feed.pieces
 
     async def run(self):
-        """Follow a watcher, another one when it falls silent, for ever."""
+        """Say which feeds are in touch, for ever."""
         while True:
-            await asyncio.sleep(LOOK_EVERY)
-            self.look_behind()
-            if self.daemons.watches():
-                self.leave()
-            elif self.link is None or self.silent():
-                self.leave()
-                await self.choose()
-
-    def silent(self):
-        """Tell whether the watcher is gone or has not been heard of."""
-        return not self.link.usable or self.clock() - self.heard_at > SILENT_AFTER
-
-    def leave(self):
-        """Follow nobody; what was passed on and not taken is forgotten."""
-        if self.link is not None:
-            self.link.following = None
-            self.link = None
-            self.waiting.clear()
-            self.tell()
-
-    async def choose(self):
-        """Follow the first watcher that can be reached."""
-        watchers = self.daemons.watchers()
-        for name in self.peers.in_turn(watchers, len(watchers)):
-            try:
-                link = await self.peers.link(name, LOOK_EVERY)
-                await link.try_out()
-            except PeerLost:
-                continue
-            self.link, self.heard_at = link, self.clock()
-            self.vouched.clear()
-            link.following = self
-            link.tell(Follow(revisions=dict(self.known)))
-            self.log(PART, "following", watcher=name)
-            return
+            await asyncio.sleep(BEAT_EVERY)
+            if self.followers:
+                self.send_all(encode(self.current()))
--- a/packages/sessions/gypsum_sessions/measures.py
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -43,7 +43,7 @@
 
         self.feeds = Gauge(
             "gypsum_feed",
-            "Revision of each feed: known here, and vouched for by the watcher.",
+            "Each feed: revision known here and at the watcher, behind it, store lost.",
             registry=self.registry,
         )
 
@@ -62,11 +62,12 @@
         self.state.set({"what": "open"}, len(proxy.sessions))
         self.state.set({"what": "configuration"}, proxy.catalog.version)
         self.state.set({"what": "lines_dropped"}, dropped_lines)
-        following = proxy.following
-        for name, revision in following.known.items():
-            self.feeds.set({"feed": name, "what": "known"}, revision)
-            vouched = following.vouched.get(name, -1)
+        for name, feed in proxy.following.feeds.items():
+            vouched = feed.state.revision if feed.state else -1
+            self.feeds.set({"feed": name, "what": "known"}, feed.known)
             self.feeds.set({"feed": name, "what": "vouched"}, vouched)
+            self.feeds.set({"feed": name, "what": "behind"}, int(feed.behind))
+            self.feeds.set({"feed": name, "what": "store_lost"}, int(feed.lost))
         for group in proxy.groups.values():
             for item in group.upstreams.values():
                 labels = {"group": group.name, "upstream": item.id}
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -2,13 +2,15 @@
 
 import asyncio
 
+from gypsum_policy.relays import FEW_DAEMONS
 from gypsum_sessions.borders import LeaseError
 from gypsum_sessions.callers.session import Session
 from gypsum_sessions.catalog import Catalog
+from gypsum_sessions.daemons.following import Following
 from gypsum_sessions.daemons.ownerdesk import OwnerDesk
 from gypsum_sessions.daemons.peers import Peers
 from gypsum_sessions.daemons.registry import DaemonEntry, Daemons
-from gypsum_sessions.daemons.relay import Following, Relay
+from gypsum_sessions.daemons.relay import Relay
 from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
 from gypsum_sessions.takeover.leaseboard import LeaseBoard
 from gypsum_sessions.upstreams.group import Surroundings
@@ -67,6 +69,7 @@
         observe,
         links=None,
         link_address="",
+        all_watch_up_to=FEW_DAEMONS,
     ):
         self.name = name
         self.clock = clock
@@ -78,7 +81,7 @@
         self.member_list = member_list
         self.catalog = Catalog()
         own = DaemonEntry(id=name, domain=domain, link=link_address)
-        self.daemons = Daemons(own=own)
+        self.daemons = Daemons(own=own, all_watch_up_to=all_watch_up_to)
         self.roster = Roster(
             clock=clock, missing_looks=round(tuning.missing_grace / TEND_EVERY)
         )
--- a/packages/sessions/gypsum_sessions/settings.py
+++ b/packages/sessions/gypsum_sessions/settings.py
@@ -9,6 +9,8 @@
 from msgspec import DecodeError, Meta, Struct, ValidationError
 from msgspec.json import decode
 
+from gypsum_policy.relays import FEW_DAEMONS
+
 Address = Annotated[str, Meta(pattern=r"^[^:\s]+:\d+$")]
 Seconds = Annotated[float, Meta(gt=0)]
 Port = Annotated[int, Meta(ge=0, le=65535)]
@@ -24,7 +26,8 @@
     Addresses are `host:port`. `grace_seconds` is the time between SIGTERM and the
     end, `upstream_drain_seconds` how long a leaving upstream still takes work.
     `spare_ports` is the first and last port free for the daemon's own use: links of
-    other daemons arrive at the first.
+    other daemons arrive at the first. Up to `all_watch_up_to` daemons all watch the
+    store, beyond that a few do and pass on what they learn.
     """
 
     daemon: Annotated[str, Meta(min_length=1)]
@@ -37,6 +40,7 @@
     grace_seconds: Seconds = 6.0
     upstream_drain_seconds: Seconds = 7.0
     metrics_port: Port = 0
+    all_watch_up_to: Annotated[int, Meta(ge=0)] = FEW_DAEMONS
 
     @property
     def links(self):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -531,11 +531,23 @@
         """This daemon is no watcher."""
         return False
 
-    def current(self, kind):
+    def wanted(self):
+        """It needs one."""
+        return True
+
+    def has_news(self, kind):
         """Tell whether there are news."""
         return bool(self.waiting)
 
-    async def next(self, kind):
+    def current(self, kind):
+        """Tell whether a watcher vouches."""
+        return bool(self.waiting)
+
+    def behind(self, kind):
+        """Tell whether the watcher knows more."""
+        return False
+
+    async def next(self, kind, until):
         """The next news."""
         return self.waiting.pop(0) if self.waiting else None
 
@@ -543,6 +555,12 @@
         """What is known now."""
         self.known.append(revision)
 
+    def store_lost(self, kind):
+        """The store does not answer."""
+
+    def store_back(self, kind):
+        """The store answers."""
+
 
 def test_news_that_were_passed_on_are_taken_like_those_of_the_store():
     def news(revision, names=(), removed=(), whole=False):
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from gypsum_platform.codec import read_statement
+from gypsum_policy.relays import FEW_DAEMONS
 from gypsum_sessions.borders import LeaseError, PromoteOutcome, PromotionLease
 from gypsum_sessions.catalog import CatalogVersion, GroupSpec, ReadRule, Route
 from gypsum_sessions.daemons.registry import DaemonEntry
@@ -153,7 +154,9 @@
         tuning=DEFAULT_SESSION_TUNING,
         version=1,
         max_connections=34,
+        all_watch_up_to=FEW_DAEMONS,
     ):
+        self.all_watch_up_to = all_watch_up_to
         self.loop = asyncio.get_running_loop()
         self.links = FakeLinks(loop=self.loop)
         self.max_connections = max_connections
@@ -185,6 +188,7 @@
             observe=lambda *args: None,
             links=self.links.dialer(name),
             link_address=name,
+            all_watch_up_to=self.all_watch_up_to,
         )
         self.links.proxies[name] = proxy
         proxy.take_daemons(
--- a/tests/sessions/test_relay.py
+++ b/tests/sessions/test_relay.py
@@ -1,8 +1,19 @@
 """News of the store reach daemons that do not watch it, and never older ones."""
 
 import asyncio
-
-from gypsum_policy.relays import MOST_BYTES, SILENT_AFTER, watcher_count
+from random import Random
+
+import pytest
+
+from gypsum_policy.relays import (
+    MOST_BYTES,
+    PIECE_BYTES,
+    SILENT_AFTER,
+    continues,
+    is_current,
+    watcher_count,
+)
+from gypsum_sessions.daemons.packing import PackingError, pack, unpack
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
@@ -37,6 +48,12 @@
     return keep_touching
 
 
+def objects_of(count):
+    """Objects that hardly shrink when they are packed."""
+    rng = Random(1)
+    return {f"n{number}": {"x": rng.getrandbits(60)} for number in range(count)}
+
+
 def followed(rig, follower):
     """The watcher that is followed."""
     return rig.links.proxies[follower.following.link.peer]
@@ -101,7 +118,7 @@
     run(main())
 
 
-def test_a_watcher_without_the_store_vouches_for_nothing():
+def test_a_watcher_without_the_store_is_left_for_one_that_is_in_touch():
     """Symptom: as above, the watcher lives.
 
     Sequence: the watcher is cut from the store, the others are not. Cause: it is
@@ -112,16 +129,50 @@
         rig, follower, _ = await make_rig()
         first = followed(rig, follower)
         first.relay.touched = lambda name: None
-        await asyncio.sleep(first.tuning.in_touch_for + 1.0)
+        await asyncio.sleep(first.tuning.in_touch_for + 1.5)
+        assert followed(rig, follower) is not first
+        assert follower.following.current(FEED)
+
+    run(main())
+
+
+def test_watchers_without_the_store_vouch_for_nothing():
+    async def main():
+        rig, follower, watchers = await make_rig()
+        for proxy in watchers:
+            proxy.relay.touched = lambda name: None
+        await asyncio.sleep(watchers[0].tuning.in_touch_for + 1.5)
         assert not follower.following.current(FEED)
 
     run(main())
 
 
-def test_a_watcher_that_is_behind_is_not_followed_for_that_feed():
+def test_who_knows_more_than_its_watcher_takes_what_follows_on_it():
+    """A follower that has asked the store itself rests: its watcher is in touch with
+    the store, and tells all that changes after what the watcher knows.
+    """
+
     async def main():
-        _, follower, _ = await make_rig()
+        rig, follower, _ = await make_rig()
+        watcher = followed(rig, follower)
         follower.following.knows(FEED, 50)
+        assert follower.following.current(FEED)
+        watcher.relay.take_changes(FEED, {"b": {"x": 2}}, [], 40)
+        watcher.relay.take_changes(FEED, {"c": {"x": 3}}, [], 60)
+        news = await follower.following.next(FEED)
+        assert (news.changed, news.revision) == ({"c": {"x": 3}}, 60)
+
+    run(main())
+
+
+def test_news_with_a_gap_before_them_are_not_taken():
+    async def main():
+        rig, follower, _ = await make_rig()
+        watcher = followed(rig, follower)
+        watcher.relay.feeds[FEED].revision = 12
+        watcher.relay.take_changes(FEED, {"b": {"x": 2}}, [], 13)
+        await asyncio.sleep(0.1)
+        assert follower.following.behind(FEED)
         assert not follower.following.current(FEED)
         assert await follower.following.next(FEED) is None
 
@@ -138,3 +189,47 @@
         assert await follower.following.next(FEED) is None
 
     run(main())
+
+
+def test_a_whole_list_comes_in_pieces_when_it_is_asked_for():
+    async def main():
+        rig, follower, _ = await make_rig()
+        watcher = followed(rig, follower)
+        large = objects_of(4000)
+        watcher.relay.take_changes(FEED, large, [], 11)
+        await asyncio.sleep(0.1)
+        assert follower.following.behind(FEED)
+        follower.following.store_lost(FEED)
+        await asyncio.sleep(0.5)
+        news = await follower.following.next(FEED)
+        assert news.whole and news.revision == 11
+        assert news.changed == {"a": {"x": 1}, **large}
+
+    run(main())
+
+
+def test_a_list_is_packed_in_pieces_and_unpacked():
+    objects = objects_of(2000)
+    pieces = pack(objects)
+    assert len(pieces) > 1
+    assert max(map(len, pieces)) <= PIECE_BYTES
+    assert unpack(pieces) == objects
+
+
+@pytest.mark.parametrize("pieces", [[], [b"x"], pack({"a": {}})[0:0], pack([1])])
+def test_pieces_that_are_no_list_are_refused(pieces):
+    with pytest.raises(PackingError):
+        unpack(pieces)
+
+
+def test_who_has_the_last_change_is_current():
+    assert is_current(known=12, since=12)
+    assert is_current(known=13, since=12)
+    assert not is_current(known=11, since=12)
+
+
+def test_changes_continue_what_reaches_their_beginning():
+    assert continues(known=12, since=10, revision=15)
+    assert continues(known=10, since=10, revision=15)
+    assert not continues(known=9, since=10, revision=15)
+    assert not continues(known=15, since=10, revision=15)
