One hypothesis profile for all tests, without limits on time

The tests of slow links wait for what has to come, without a limit of their own on time: on the code before it never comes. Other clocks in tests (limits of process tests, 30 s and more) only end what hangs.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(PY) -m bench.run
 
 fuzz: setup
-	GYPSUM_FUZZ=600 $(PY) -m pytest -q tests/test_stateful.py
+	GYPSUM_FUZZ=600 $(PY) -m pytest -q -n 4 tests/test_stateful.py tests/platform tests/policy
 	GYPSUM_FUZZ_SEEDS=400 $(PY) -m pytest -q -n 4 tests/sessions/test_chaos.py
 
 matrix: setup
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,27 @@
-"""Fixtures that several test modules share, and the tests that are known to be red."""
+"""Shared fixtures, hypothesis's profiles, and the tests that are known to be red."""
 
+import os
 from pathlib import Path
 
 import pytest
+from hypothesis import HealthCheck, settings
 
 from tests.cluster import Cluster
 
+# What goes wrong with hypothesis's own limits on time: its first draw of text builds
+# tables, which took 5.3 s beside other load, and the run failed for that alone. With
+# drawn seeds it fails on one machine and passes on the next. `make fuzz` draws.
+settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.register_profile(
+    "drawn", settings.get_profile("fixed"), derandomize=False, max_examples=1000
+)
+settings.load_profile("drawn" if os.environ.get("GYPSUM_FUZZ") else "fixed")
+
 # One line a test: what to run, the cause, the issue, separated by "|".
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -1,7 +1,7 @@
 """The wire's lines: whole, split, broken, too long."""
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from gypsum_core.records import Position
@@ -79,7 +79,6 @@
 
 
 @given(st.lists(st.binary(max_size=40)), st.lists(st.integers(1, 30)))
-@settings(derandomize=True)
 def test_lines_come_out_whole_however_they_are_split(lines, cuts):
     lines = [item.replace(b"\r", b".").replace(b"\n", b".") for item in lines]
     stream = b"".join(item + b"\r\n" for item in lines)
@@ -92,7 +91,6 @@
 
 
 @given(st.text(max_size=60))
-@settings(derandomize=True)
 def test_any_text_is_a_statement_or_refused(text):
     try:
         statement = read_statement(text)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -178,7 +178,7 @@
 
 
 @given(st.lists(WORDS, max_size=12), st.integers(1, 50))
-@settings(derandomize=True, max_examples=60, deadline=None)
+@settings(max_examples=60)
 def test_any_talk_gets_at_most_one_answer_a_message(messages, size):
     stream = b"".join(item + b"\r\n" for item in [b"STARTUP own u", *messages])
     chunks = [stream[i : i + size] for i in range(0, len(stream), size)]
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsum_platform import store as store_module
+from gypsum_platform import exchange as exchange_module
 from gypsum_platform.feeds import Feed, Waker
 from gypsum_platform.store import Store, StoreError
 from gypsum_platform.takers import ConfigTaker
@@ -56,20 +56,18 @@
             stand_in.put("config", "main", large_config(version))
         stand_in.rate = LINK
         stand_in.refuse = 0
-        await asyncio.sleep(4.0)
+        await until(lambda: proxy.versions[-1] == 18)
         task.cancel()
-        assert proxy.versions[-1] == 18
 
     with_store(main)
 
 
-def test_an_answer_that_keeps_coming_is_waited_for(monkeypatch):
+def test_an_answer_that_keeps_coming_is_waited_for():
     """Symptom: a daemon never reads a list, its link is busy all the time.
 
     Sequence: the list takes longer than a call may take, again and again. Cause: the
     whole answer had one deadline, whether bytes came or not.
     """
-    monkeypatch.setattr(store_module, "SILENT_AFTER", 0.2, raising=False)
 
     async def main(stand_in, client):
         stand_in.put("config", "main", large_config(1))
@@ -87,14 +85,13 @@
     Sequence: the connection goes silent in the middle of an answer. Cause: only the
     first byte was waited for with a limit.
     """
-    monkeypatch.setattr(store_module, "SILENT_AFTER", 0.2, raising=False)
+    monkeypatch.setattr(exchange_module, "SILENT_AFTER", 0.2)
 
     async def main(stand_in, client):
         stand_in.put("config", "main", large_config(1))
         stand_in.stall_after = 32 << 10
         with pytest.raises(StoreError) as caught:
-            async with asyncio.timeout(2.5):
-                await client.list_objects("config")
+            await client.list_objects("config")
         assert 0 < caught.value.received < LARGE
 
     with_store(main)
@@ -116,8 +113,7 @@
         for version in range(2, 14):
             stand_in.put("config", "main", large_config(version))
         task = asyncio.create_task(feed.run())
-        await asyncio.sleep(2.0)
+        await until(lambda: proxy.versions[-1] == 13)
         task.cancel()
-        assert proxy.versions[-1] == 13
 
     with_store(main)
