Requests tell the configuration that judged them and its age; refused names are logged

A refusal for a name that no route has left no line at all. explain-request tells the version and since when the daemon was last sure that it is the newest.

--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -114,6 +114,7 @@
     for line in story.way:
         yield f"  {line_text(line, home)}"
     yield cause(story.last)
+    yield from judged_by(story.last)
     if story.around:
         yield "around it:"
     for line in story.around:
@@ -139,6 +140,19 @@
     return text.format(refusal=refusal, detail=line.get("detail", ""))
 
 
+def judged_by(line):
+    """Which configuration the request was judged by, and whether that was the newest.
+
+    Watches of the store end after four seconds, so one that is known to be the newest
+    for longer may have been replaced.
+    """
+    if "version_age_ms" not in line:
+        return
+    age = line["version_age_ms"] / 1000
+    text = f"It was judged by configuration {line['version']}"
+    yield f"{text}, known to be the newest {age:.1f} s before."
+
+
 def late_cause(line):
     """What an answered request waited for, if it was asked at several upstreams."""
     upstreams = line.get("upstreams", [])
--- a/packages/sessions/gypsum_sessions/callers/caller.py
+++ b/packages/sessions/gypsum_sessions/callers/caller.py
@@ -125,6 +125,7 @@
             return False
         self.session = self.proxy.open_session(database)
         if self.session is None:
+            self.proxy.refused_database(database)
             self.link.send_final(Refusal.UNKNOWN_DATABASE, database)
             return False
         self.link.send_greeting()
--- a/packages/sessions/gypsum_sessions/daemons/following.py
+++ b/packages/sessions/gypsum_sessions/daemons/following.py
@@ -108,6 +108,10 @@
         feed = self.feed(name)
         return feed.state is not None and not feed.behind
 
+    def age(self, name):
+        """Seconds since a watcher vouched for all that is known; None if none does."""
+        return self.clock() - self.heard_at if self.current(name) else None
+
     def behind(self, name):
         """Tell whether the watcher has changes of a feed that this daemon lacks."""
         return self.feed(name).behind
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -80,6 +80,8 @@
         self.promoter = promoter
         self.member_list = member_list
         self.catalog = Catalog()
+        # Seconds since the configuration was known to be the newest.
+        self.catalog_age = lambda: 0.0
         own = DaemonEntry(id=name, domain=domain, link=link_address)
         self.daemons = Daemons(own=own, all_watch_up_to=all_watch_up_to)
         self.roster = Roster(
@@ -275,13 +277,28 @@
             group=route.group,
             rule=str(route.rule),
             by=str(served_by or ""),
-            version=self.catalog.version,
+            **self.judged_by(),
             statement=str(statement.kind),
             ms=round(seconds * 1000, 1),
             **job_fields(job),
             **refusal_fields(reply),
         )
 
+    def refused_database(self, database):
+        """Log that no route has the name that a caller asked for."""
+        self.log("request", "no route", database=database, **self.judged_by())
+
+    def judged_by(self):
+        """Log fields: the configuration that a request was judged by.
+
+        What goes wrong without its age: a refusal by a configuration that has been
+        replaced looks like one of a route that never was.
+        """
+        return {
+            "version": self.catalog.version,
+            "version_age_ms": round(self.catalog_age() * 1000),
+        }
+
     def role_of(self, name, job):
         """Whether the leader or a replica answered a job; empty if neither did."""
         if job is None or not job.served_by:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -87,9 +87,11 @@
 
 
 def test_an_unknown_database_is_refused_and_closed():
-    transport, _ = lines_of([b"STARTUP nobody u\r\n"])
+    transport, rig = lines_of([b"STARTUP nobody u\r\n"])
     assert transport.lines == ["ERROR UNKNOWNDB nobody"]
     assert transport.closed
+    told = [fields for _, _, event, fields in rig.lines if event == "no route"]
+    assert told == [{"database": "nobody", "version": 1, "version_age_ms": 0}]
 
 
 def test_a_statement_before_the_opening_is_refused():
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -83,3 +83,27 @@
     story = tell("r", lines)
     assert story.last["daemon"] == "d1"
     assert [line["daemon"] for line in story.around] == ["d2"]
+
+
+def test_the_configuration_that_judged_it_is_told_with_its_age(tmp_path, capsys):
+    """Symptom: a route that is there was refused as unknown, and the log line looks
+    like that of any wrong name.
+
+    Sequence: a daemon is behind when it refuses. Cause: the line told the version,
+    not since when the daemon could not know whether it is the newest.
+    """
+    text = [
+        line(
+            4,
+            "request",
+            "refused",
+            request="r1",
+            refusal="busy",
+            detail="not run",
+            version=12,
+            version_age_ms=9400,
+        )
+    ]
+    _, out = run(tmp_path, "r1", capsys, text)
+    told = "judged by configuration 12, known to be the newest 9.4 s before"
+    assert told in out.out
