--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -157,3 +157,24 @@
     with caplog.at_level("DEBUG"):
         asyncio.run(main())
     assert [item for item in caplog.records if "websockets" in item.name] == []
+
+
+def test_a_link_on_which_a_long_message_arrives_is_not_silent():
+    """Symptom: statements are in doubt though the daemon that they were sent to lives.
+
+    Sequence: its answer to another one takes the link longer than a probe may take;
+    the answer to the probe comes after it. Cause: only that was a sign of life, not
+    the bytes before it.
+    """
+
+    async def main():
+        address, _, _ = await serve()
+        link = await dialer().dial(address, Receiver(), timeout=5.0)
+        link.protocol.send_ping = lambda data: None
+        assert not await link.probe(0.05)
+        probing = asyncio.create_task(link.probe(0.2))
+        await asyncio.sleep(0.05)
+        link.data_received(b"\x82\x7e\xff\xff" + b"x" * 100)
+        assert await probing
+
+    asyncio.run(main())
