A link that is busy is not silent

Ruled out: any byte as a sign of life; a link that is cut one way brings news until the other kernel gives up after 3 s. The failing test's message is therefore 20 kB long in place of 100 bytes; a second test holds the one-way case.

--- a/packages/links/gypsum_links/frames.py
+++ b/packages/links/gypsum_links/frames.py
@@ -30,6 +30,9 @@
 MOST_BYTES = 2 << 20
 # Bytes that wait for a slow link before it is given up: the longest message twice.
 BACKLOG_BYTES = 4 << 20
+# A link that brings this many bytes while a probe waits is busy, not silent: a second's
+# beats and news are some hundred, and 5 Mbit/s carry as many in 13 ms.
+BUSY_BYTES = 8 << 10
 # Bytes that are on their way unacknowledged for this long say that the way is gone.
 SILENCE_MS = 3000
 # A daemon shows its key at once; who has not within this many seconds is none.
@@ -49,6 +52,7 @@
         self.transport = None
         self.alive = True
         self.probes = deque()
+        self.received = 0
 
     # asyncio.Protocol
 
@@ -63,6 +67,7 @@
         """Bytes came."""
         if not self.alive:
             return
+        self.received += len(data)
         self.protocol.receive_data(data)
         for event in self.protocol.events_received():
             if self.alive:
@@ -115,9 +120,16 @@
                 self.transport.write(data)
 
     async def probe(self, timeout):
-        """Tell whether the other end answers a ping in time."""
+        """Tell whether the other end answers a ping in time, or the link is busy.
+
+        What goes wrong if only the answer to the ping counts: it waits behind a message
+        of a megabyte, which takes a link of 5 Mbit/s 1.7 s, and all that was asked over
+        the link is in doubt. With any byte counted, one whose other end hears nothing
+        of us stays as long as that one has something to say.
+        """
         if not self.alive:
             return False
+        before = self.received
         answered = asyncio.get_running_loop().create_future()
         self.probes.append(answered)
         self.protocol.send_ping(b"")
@@ -126,7 +138,7 @@
             async with asyncio.timeout(timeout):
                 return await answered
         except TimeoutError:
-            return False
+            return self.received - before >= BUSY_BYTES
 
     def probe_answered(self):
         """A pong came: it answers the pings in their order."""
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -174,7 +174,26 @@
         assert not await link.probe(0.05)
         probing = asyncio.create_task(link.probe(0.2))
         await asyncio.sleep(0.05)
-        link.data_received(b"\x82\x7e\xff\xff" + b"x" * 100)
+        link.data_received(b"\x82\x7e\xff\xff" + b"x" * 20_000)
         assert await probing
 
     asyncio.run(main())
+
+
+def test_a_link_that_only_tells_and_does_not_hear_is_silent():
+    """Symptom: statements wait for seconds though other owners would answer them.
+
+    Sequence: a link is cut one way; the other end's news still come, until its own
+    kernel gives up. Cause: they were taken for an answer.
+    """
+
+    async def main():
+        address, _, _ = await serve()
+        link = await dialer().dial(address, Receiver(), timeout=5.0)
+        link.protocol.send_ping = lambda data: None
+        probing = asyncio.create_task(link.probe(0.2))
+        await asyncio.sleep(0.05)
+        link.data_received(b"\x82\x7e\xff\xff" + b"x" * 300)
+        assert not await probing
+
+    asyncio.run(main())
