--- a/packages/sessions/gypsum_sessions/settings.py
+++ b/packages/sessions/gypsum_sessions/settings.py
@@ -4,7 +4,7 @@
 """
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from msgspec import DecodeError, Meta, Struct, ValidationError
 from msgspec.json import decode
@@ -26,7 +26,8 @@
     Addresses are `host:port`. `grace_seconds` is the time between SIGTERM and the
     end, `upstream_drain_seconds` how long a leaving upstream still takes work.
     `spare_ports` is the first and last port free for the daemon's own use: links of
-    other daemons arrive at the first. Up to `all_watch_up_to` daemons all watch the
+    other daemons arrive at the first; `advertised_links` is where others reach it, if
+    an address is translated in between. Up to `all_watch_up_to` daemons all watch the
     store, beyond that a few do and pass on what they learn.
     """
 
@@ -40,6 +41,7 @@
     grace_seconds: Seconds = 6.0
     upstream_drain_seconds: Seconds = 7.0
     metrics_port: Port = 0
+    advertised_links: Address | Literal[""] = ""
     all_watch_up_to: Annotated[int, Meta(ge=0)] = FEW_DAEMONS
 
     @property
--- a/tests/sessions/test_settings.py
+++ b/tests/sessions/test_settings.py
@@ -37,6 +37,8 @@
         ({"grace_seconds": 0}, "grace_seconds"),
         ({"unheard_of": 1}, "unheard_of"),
         ({"spare_ports": [1]}, "spare_ports"),
+        ({"advertised_links": "nowhere"}, "advertised_links"),
+        ({"all_watch_up_to": -1}, "all_watch_up_to"),
     ],
 )
 def test_errors_name_the_place(tmp_path, change, place):
