A fault soak over real processes

Daemons, stand-ins and wires between them; troubles drawn from a seed, promises checked while it runs; statements' checks are one copy with the random runs in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/policy packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
 
-.PHONY: ablation setup test lint format demo demo-platform bench fuzz matrix capacity clean
+.PHONY: ablation soak setup test lint format demo demo-platform bench fuzz matrix capacity clean
 
 setup: $(STAMP)
 
@@ -43,6 +43,13 @@
 matrix: setup
 	$(PY) -m tests.matrix
 
+# SEED draws the troubles; one of its own if it is left out.
+MINUTES ?= 1
+RUNS ?= 1
+DAEMONS ?= 9
+soak: setup
+	$(PY) -m soak $(SEED:%=--seed %) --minutes $(MINUTES) --runs $(RUNS) --daemons $(DAEMONS)
+
 capacity: setup
 	$(PY) -m bench.capacity
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real daemons, faults from outside, promises checked while it runs."""
--- /dev/null
+++ b/tests/promises.py
@@ -0,0 +1,91 @@
+"""What callers were told and what upstreams ran: finds broken promises.
+
+One copy for the random runs in virtual time and for the soak over real processes.
+"""
+
+from dataclasses import dataclass, field
+
+from gypsum_sessions.catalog import ReadRule
+
+# How old what a read shows may be, seconds, for the routes of the tests.
+MAX_AGE = {
+    ReadRule.PRIMARY: 0.0,
+    ReadRule.BOUNDED: 1.5,
+    ReadRule.READ_YOUR_WRITES: 2.5,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class Acked:
+    """Writes that a caller was told are kept."""
+
+    data: tuple[str, ...]
+    at: float
+    session: int | str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SentRead:
+    """A read as its caller sent it; `at` is when it, or its transaction, was sent."""
+
+    at: float
+    session: int | str
+    rule: ReadRule
+
+
+@dataclass(slots=True, kw_only=True)
+class Promises:
+    """The book of one run: what was sent, told and run."""
+
+    acked: list[Acked] = field(default_factory=list)
+    promised: list[str] = field(default_factory=list)
+    values: dict[int | str, dict[str, str]] = field(default_factory=dict)
+    reads: dict[str, SentRead] = field(default_factory=dict)
+    transactions: dict[str, int | str] = field(default_factory=dict)
+    owners: dict[object, int | str] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+
+    def has_set(self, session, values, at):
+        """Tell whether a session had these values at a time; here: has them now."""
+        return values == self.values.get(session, {})
+
+    def ran(self, request, session, *, conn, values, in_transaction, at=0.0):
+        """An upstream ran a caller's statement: is it where it belongs?
+
+        `conn` stands for the connection, `values` are those set on it.
+        """
+        if not self.has_set(session, values, at):
+            self.broken.append(f"PINNED {request}: values {values}")
+        owner = self.owners.get(conn)
+        if in_transaction and owner not in (None, session):
+            self.broken.append(f"PINNED {request}: in the transaction of {owner}")
+        if in_transaction != (request in self.transactions):
+            self.broken.append(f"PINNED {request}: in a transaction {in_transaction}")
+        self.owners[conn] = session if in_transaction else None
+
+    def read_ran(self, request, member, lacks):
+        """An upstream ran a read on a log that lacks some data: may it?"""
+        sent = self.reads[request]
+        for item in self.acked:
+            own = (
+                sent.rule is ReadRule.READ_YOUR_WRITES and item.session == sent.session
+            )
+            bound = sent.at if own else sent.at - MAX_AGE[sent.rule]
+            if item.at < bound and not lacks.isdisjoint(item.data):
+                self.broken.append(f"STALE {request} at {member}: lacks {item.data}")
+
+    def finish(self, kept, orders):
+        """Check what is only known at the end.
+
+        `kept` is the data in the last log, `orders` tokens and holders of promotions.
+        """
+        if len(kept) != len(set(kept)):
+            self.broken.append("TWICE")
+        for item in self.acked:
+            if not set(item.data) <= set(kept):
+                self.broken.append(f"LOST {item.data}")
+        for data in self.promised:
+            if data in kept:
+                self.broken.append(f"REFUSED {data}")
+        if len({token for token, _ in orders}) != len(set(orders)):
+            self.broken.append("ONE: two holders with one token")
--- a/tests/sessions/chaos.py
+++ b/tests/sessions/chaos.py
@@ -4,11 +4,10 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
 from random import Random
 
-from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.replies import Refusal, SessionState
+from tests.promises import Acked, Promises, SentRead
 from tests.sessions.fakegroup import FakeMember
 from tests.sessions.rig import FakeCaller, Rig
 from tests.sessions.vclock import run
@@ -18,66 +17,35 @@
 PROMISES = {Refusal.BUSY, Refusal.ABORTED, Refusal.LAGGING, Refusal.READ_ONLY}
 
 
-@dataclass(slots=True, kw_only=True)
-class Acked:
-    """Writes that a caller was told are kept."""
+class Watch(Promises):
+    """Takes in what the upstreams of a rig ran."""
 
-    data: tuple[str, ...]
-    at: float
-    session: int
-
-
-@dataclass(slots=True, kw_only=True)
-class Watch:
-    """What callers were told; finds broken promises."""
-
-    rig: Rig
-    acked: list[Acked] = field(default_factory=list)
-    promised: list[str] = field(default_factory=list)
-    expected_values: dict[int, dict[str, str]] = field(default_factory=dict)
-    read_bounds: dict[str, tuple[float, int, ReadRule]] = field(default_factory=dict)
-    transactions: dict[str, int] = field(default_factory=dict)
-    broken: list[str] = field(default_factory=list)
+    def __init__(self, *, rig):
+        super().__init__()
+        self.rig = rig
 
     def statement_ran(self, conn, request):
-        """An upstream ran a caller's statement: is it where it belongs?"""
-        session = int(request.split("-")[0])
-        if conn.values != self.expected_values.get(session, {}):
-            self.broken.append(f"PINNED {request}: values {conn.values}")
-        owner = conn.owner
-        in_transaction = conn.state is SessionState.IN_TRANSACTION
-        if in_transaction and owner not in (None, session):
-            self.broken.append(f"PINNED {request}: in the transaction of {owner}")
-        if in_transaction != (request in self.transactions):
-            self.broken.append(f"PINNED {request}: in a transaction {in_transaction}")
-        conn.owner = session if in_transaction else None
+        """An upstream ran a caller's statement."""
+        self.ran(
+            request,
+            int(request.split("-")[0]),
+            conn=conn.transaction,
+            values=conn.values,
+            in_transaction=conn.state is SessionState.IN_TRANSACTION,
+        )
 
     def read_ran(self, member, request):
-        """An upstream ran a read: does its log hold what it has to?"""
-        sent, session, rule = self.read_bounds[request]
-        max_age = {ReadRule.PRIMARY: 0.0, ReadRule.BOUNDED: 1.5}.get(rule, 2.5)
+        """An upstream ran a read: what does its log lack?"""
         log = member.log[: member.applied]
         shown = {data for entry in log for _, data in entry.writes}
-        for item in self.acked:
-            own = rule is ReadRule.READ_YOUR_WRITES and item.session == session
-            bound = sent if own else sent - max_age
-            if item.at < bound and not shown.issuperset(item.data):
-                self.broken.append(f"STALE {request} at {member.id}: lacks {item.data}")
+        acked = {data for item in self.acked for data in item.data}
+        super().read_ran(request, member.id, acked - shown)
 
     def finish(self):
         """Check what is only known at the end."""
         kept = [data for entry in self.rig.group.leader.log for _, data in entry.writes]
-        if len(kept) != len(set(kept)):
-            self.broken.append("TWICE")
-        for item in self.acked:
-            if not set(item.data) <= set(kept):
-                self.broken.append(f"LOST {item.data}")
-        for data in self.promised:
-            if data in kept:
-                self.broken.append(f"REFUSED {data}")
-        tokens = [(token, holder) for _, holder, token in self.rig.promoter.orders]
-        if len({token for token, _ in tokens}) != len(set(tokens)):
-            self.broken.append("ONE: two holders with one token")
+        orders = [(token, holder) for _, holder, token in self.rig.promoter.orders]
+        super().finish(kept, orders)
 
 
 async def live(rig, watch, rng, place, until):
@@ -87,7 +55,7 @@
         proxy = rig.proxies[place]
         database = rng.choice(["primary", "bounded", "own"])
         caller = rig.caller(database, proxy)
-        watch.expected_values[caller.number] = {}
+        watch.values[caller.number] = {}
         for _ in range(rng.randint(1, 6)):
             await operate(rig, watch, rng, caller)
             await asyncio.sleep(rng.random() * 0.3)
@@ -100,7 +68,7 @@
     if kind == "set":
         name, value = rng.choice("abc"), str(rng.randint(0, 2))
         if (await caller.send(f"SET {name} {value}")).ok:
-            watch.expected_values[caller.number][name] = value
+            watch.values[caller.number][name] = value
     elif kind == "read":
         await read(rig, watch, caller, "READ item")
     elif kind == "prepared":
@@ -114,8 +82,9 @@
 
 async def read(rig, watch, caller, text):
     """A single read."""
-    bound = (rig.loop.clock(), caller.number, caller.session.route.rule)
-    watch.read_bounds[caller.next_request] = bound
+    watch.reads[caller.next_request] = SentRead(
+        at=rig.loop.clock(), session=caller.number, rule=caller.session.route.rule
+    )
     await caller.send(text)
 
 
@@ -145,7 +114,7 @@
             reply = await caller.send(f"WRITE {request} {request}")
         else:
             rule = caller.session.route.rule
-            watch.read_bounds[request] = (began, caller.number, rule)
+            watch.reads[request] = SentRead(at=began, session=caller.number, rule=rule)
             reply = await caller.send("READ item")
         if not reply.ok:
             break
@@ -507,7 +476,7 @@
     while rig.loop.time() < until:
         for proxy in rig.proxies:
             caller = rig.caller("own", proxy)
-            watch.expected_values[caller.number] = {}
+            watch.values[caller.number] = {}
             await write(rig, watch, caller)
         await asyncio.sleep(2.0)
 
@@ -533,7 +502,7 @@
     """After all is well again, every daemon serves reads and writes."""
     for proxy in rig.proxies:
         caller: FakeCaller = rig.caller("own", proxy)
-        watch.expected_values[caller.number] = {}
+        watch.values[caller.number] = {}
         reply = await caller.send("WRITE last last")
         if not reply.ok:
             watch.broken.append(f"RECOVER {proxy.name}: {reply.refusal} {reply.detail}")
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -258,7 +258,7 @@
     def __init__(self, *, member, loop, dialer=None):
         self.member = member
         self.dialer = dialer
-        self.owner = None
+        self.transaction = object()
         self.loop = loop
         self.alive = True
         self.silent = False
@@ -372,7 +372,7 @@
         if statement.writes and not self.member.leads:
             return self.refuse(Refusal.READ_ONLY)
         self.state = SessionState.IN_TRANSACTION
-        self.owner = None
+        self.transaction = object()
         self.read_only = not statement.writes
         self.writing_term = self.member.group.term
         return self.done()
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -35,6 +35,7 @@
         self.rate = 0
         self.stall_after = 0
         self.calls = []
+        self.orders = []
         self.changed = asyncio.Event()
         self.promote = None
 
@@ -235,5 +236,6 @@
         """Hand the order to whoever plays the group."""
         body = json.loads(self.request.body)
         token = int(self.request.headers["X-Fencing-Token"])
+        self.store.orders.append((token, self.request.headers["X-Lease-Holder"]))
         accepted = self.store.promote(body["service"], body["id"], token)
         self.answer({}, 200 if accepted else 409)
--- a/tests/standins/platformworld.py
+++ b/tests/standins/platformworld.py
@@ -195,6 +195,12 @@
         self.writer = writer
         self.name = name
         self.sent = 0
+        self.proof = ""
+
+    @property
+    def next_request(self):
+        """The id that the next statement will have."""
+        return f"{self.name}-{self.sent + 1}"
 
     @classmethod
     async def connect(cls, port, database, name):
@@ -227,6 +233,7 @@
                 rows.append(rest)
             else:
                 end = "COMPLETE" if word == "COMPLETE" else rest.split(" ")[0]
+                self.proof = rest
 
     def close(self):
         """Close the connection."""
--- a/tests/standins/wireupstream.py
+++ b/tests/standins/wireupstream.py
@@ -38,28 +38,44 @@
 
 async def serve(member, reader, writer):
     """One connection: its opening, then its statements in turn."""
-    splitter = LineSplitter()
     conn = FakeConn(member=member, loop=asyncio.get_running_loop())
+    texts = asyncio.Queue()
+    reading = asyncio.create_task(read_texts(reader, conn, texts))
     opened = False
     try:
-        while data := await reader.read(65536):
-            for text in splitter.feed(data):
-                if member.dead:
-                    return
-                if opened:
-                    writer.write(await answer(conn, text))
-                    continue
-                opened = open_for(member, text, writer)
-                if not opened:
-                    return
-            await writer.drain()
+        while (text := await texts.get()) is not None and not member.dead:
+            if opened:
+                writer.write(await answer(conn, text))
+                await writer.drain()
+                continue
+            opened = open_for(member, text, writer)
+            if not opened:
+                return
     except (ConnectionError, UpstreamError):
         return
     finally:
+        reading.cancel()
         conn.close()
         writer.close()
 
 
+async def read_texts(reader, conn, texts):
+    """Read lines; the end of the connection ends what waits on it.
+
+    What goes wrong without it: an upstream that stood still runs what its caller has
+    long given up and closed.
+    """
+    splitter = LineSplitter()
+    try:
+        while data := await reader.read(65536):
+            for text in splitter.feed(data):
+                texts.put_nowait(text)
+    except ConnectionError:
+        pass
+    conn.close()
+    texts.put_nowait(None)
+
+
 def open_for(member, text, writer):
     """Answer the opening; a wrong group or id is refused."""
     word, rest = split_line(text)
