--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,6 +22,7 @@
 from gypsum_platform.takers import ConfigTaker, OwnTaker, UpstreamTaker
 from gypsum_sessions.borders import LeaseError, PromoteOutcome
 from gypsum_sessions.daemons.asks import News
+from gypsum_sessions.daemons.relay import Relay
 from gypsum_sessions.takeover.leaseboard import LeaseBoard
 from gypsum_sessions.upstreams.recorder import MemberRecorder
 from gypsum_sessions.upstreams.roster import Member
@@ -644,3 +645,58 @@
         assert watcher > 18
         assert follower <= 12
         assert 2 * follower <= watcher
+
+
+def test_who_becomes_a_watcher_in_the_middle_of_a_call_passes_on_no_part_of_a_list():
+    """Symptom: daemons that follow a certain watcher know one upstream of thirty.
+
+    Sequence: a daemon that follows asks the store itself, becomes one of the watchers
+    before the answer comes, and that brings a change. Cause: the change was kept as if
+    it followed on a list, which this daemon had never passed on.
+    """
+
+    class Store:
+        """One object listed, another one changed; what a call ends, it begins with."""
+
+        def __init__(self, following):
+            self.following = following
+
+        async def list_objects(self, kind):
+            """The whole list."""
+            return [StoredObject(name="a", revision=1, spec={})], 1
+
+        async def watch(self, kind, revision, *, wait_ms):
+            """A change, and this daemon is a watcher from now on."""
+            self.following.watcher = True
+            obj = StoredObject(name="b", revision=2, spec={})
+            return [store_module.Change(obj=obj, deleted=False)], 2
+
+    class Turning(FollowingDouble):
+        """A daemon that becomes a watcher."""
+
+        watcher = False
+
+        def watches(self):
+            """Tell whether it is one now."""
+            return self.watcher
+
+    async def main():
+        following = Turning()
+        relay = Relay(clock=time.monotonic, in_touch_for=5.0)
+        feed = Feed(
+            store=Store(following),
+            kind="k",
+            take_all=lambda objects: None,
+            take_change=lambda change: None,
+            log=lambda *args, **fields: None,
+            waker=Waker(),
+            relay=relay,
+            following=following,
+        )
+        await feed.step()
+        await feed.step()
+        assert not relay.knows("k")
+        await feed.step()
+        assert set(relay.feeds["k"].objects) == {"a"}
+
+    asyncio.run(main())
