A watcher passes changes on only after a list of its own

Cause: the call's answer was kept as if it followed on a list, by a daemon that became a watcher while it waited. Its followers would have taken the part for the whole. Ruled out by the test: that the next call mends it, for the feed counted as known.

--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -52,7 +52,8 @@
 
     def touched(self, name):
         """The store has answered for a feed."""
-        self.feeds.setdefault(name, KnownFeed()).touched_at = self.clock()
+        if name in self.feeds:
+            self.feeds[name].touched_at = self.clock()
 
     def out_of_touch(self, name):
         """The store did not answer for a feed: nothing is vouched for until it does."""
@@ -64,6 +65,7 @@
         feed = self.feeds.setdefault(name, KnownFeed())
         same = feed.revision and feed.objects == objects
         feed.objects, feed.revision = dict(objects), revision
+        self.touched(name)
         if same:
             return
         self.changed(feed)
@@ -72,6 +74,7 @@
     def take_changes(self, name, changed, removed, revision):
         """Changes came: objects by name, and names of those removed."""
         feed = self.feeds[name]
+        self.touched(name)
         feed.objects.update(changed)
         for gone in removed:
             feed.objects.pop(gone, None)
