Soak: a statement that meets the close of its idle connection was never read

Trace: the caller's COMMIT before it was answered at 46.555, the drain closed idle sessions from 46.0 to 46.9; the statement stands in no log of d5 and no upstream ran it. That case is allowed: nothing was read, and the wire has no word for leaving. The check now asks that the statement ran, or was cut 0.2 s after it was sent or later, and tells it when it runs after the cut.

--- a/soak/book.py
+++ b/soak/book.py
@@ -9,6 +9,10 @@
 # A leaving upstream takes no new work after this, seconds: the daemons' own limit, and
 # a second for the store's news.
 DRAIN_LIMIT = 8.0
+# A statement that meets the close of its idle connection was never read: it is cut within
+# this, seconds, and does not run. No daemon can prevent it: some caller always speaks at
+# that moment, and the wire has no word for leaving.
+LOST_SLACK = 0.2
 # Nothing but planned work for this long before a cut counts, seconds.
 CALM_FOR = 5.0
 # Bounds of the histograms of answers, seconds.
@@ -38,6 +42,8 @@
     leaving: dict[str, float] = field(default_factory=dict)
     draining: dict[str, float] = field(default_factory=dict)
     ran_count: int = 0
+    run_requests: set[str] = field(default_factory=set)
+    unread: set[str] = field(default_factory=set)
 
     def set(self, session, name, value, sent_at):
         """A caller was told that a value of its session is set."""
@@ -78,6 +84,9 @@
             self.read_ran(request, member, set(line["lacks"]))
             return
         self.ran_count += 1
+        self.run_requests.add(request)
+        if request in self.unread:
+            self.broken.append(f"LOST {request}: it ran, and its answer was cut")
         self.ran(
             request,
             request.rpartition("-")[0],
@@ -106,13 +115,17 @@
         if word != "WRITE" and len(rows) != 1:
             self.broken.append(f"MIXED {request}: {len(rows)} rows")
 
-    def cut(self, daemon, request):
+    def cut(self, daemon, request, sent_at):
         """A connection ended before an answer: only troubles may do that."""
-        began = self.draining.get(daemon.name)
-        if began is None or time.monotonic() - began > CALM_FOR:
+        now, began = time.monotonic(), self.draining.get(daemon.name)
+        if began is None or now - began > CALM_FOR:
             return
-        if time.monotonic() - self.calm_since > CALM_FOR:
-            self.broken.append(f"LOST {request}: cut by the drain of {daemon.name}")
+        if now - self.calm_since <= CALM_FOR:
+            return
+        if now - sent_at <= LOST_SLACK and request not in self.run_requests:
+            self.unread.add(request)
+            return
+        self.broken.append(f"LOST {request}: cut by the drain of {daemon.name}")
 
 
 class Stats:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -96,7 +96,7 @@
             self.book.broken.append(f"HUNG {request} at {self.daemon.name}: {text}")
             raise SessionOver from None
         except OSError:
-            self.book.cut(self.daemon, request)
+            self.book.cut(self.daemon, request, began)
             raise SessionOver from None
         self.stats.answered(text, end, time.monotonic() - began)
         self.book.answered(request, text, rows, end, self.client.proof)
