--- a/soak/book.py
+++ b/soak/book.py
@@ -9,9 +9,9 @@
 # A leaving upstream takes no new work after this, seconds: the daemons' own limit, and
 # a second for the store's news.
 DRAIN_LIMIT = 8.0
-# A statement that meets the close of its idle connection was never read: it is cut within
-# this, seconds, and does not run. No daemon can prevent it: some caller always speaks at
-# that moment, and the wire has no word for leaving.
+# A statement that meets the close of its idle connection was never read: it is cut
+# within this, seconds, and does not run. No daemon can prevent it: some caller always
+# speaks at that moment, and the wire has no word for leaving.
 LOST_SLACK = 0.2
 # Nothing but planned work for this long before a cut counts, seconds.
 CALM_FOR = 5.0
