--- a/tests/sessions/test_relay.py
+++ b/tests/sessions/test_relay.py
@@ -233,3 +233,56 @@
     assert continues(known=10, since=10, revision=15)
     assert not continues(known=9, since=10, revision=15)
     assert not continues(known=15, since=10, revision=15)
+
+
+def test_what_a_watcher_sent_that_was_left_does_not_count():
+    """Symptom: an upstream that is gone comes back into a daemon's list.
+
+    Sequence: news are on their way, or not taken in yet, when their watcher is left for
+    another one that knows more. Cause: they were taken in after the other one's.
+    """
+
+    async def main():
+        rig, follower, watchers = await make_rig()
+        first = followed(rig, follower)
+        second = next(proxy for proxy in watchers if proxy is not first)
+        first.relay.take_changes(FEED, {"b": {"x": 2}}, [], 11)
+        await asyncio.sleep(0.01)
+        first.relay.take_changes(FEED, {"c": {"x": 3}}, [], 12)
+        follower.following.leave()
+        second.relay.take_changes(FEED, {"b": {"x": 2}}, [], 11)
+        second.relay.take_changes(FEED, {}, ["b"], 13)
+        rig.links.freeze(first.name)
+        await asyncio.sleep(2.0)
+        assert followed(rig, follower) is second
+        news = await follower.following.next(FEED)
+        assert news.whole and set(news.changed) == {"a"} and news.revision == 13
+        follower.following.knows(FEED, 13)
+        rig.links.thaw(first.name)
+        await asyncio.sleep(0.5)
+        assert not follower.following.has_news(FEED)
+
+    run(main())
+
+
+def test_a_follower_that_stood_still_takes_in_what_came_meanwhile():
+    async def main():
+        rig, follower, _ = await make_rig()
+        watcher = followed(rig, follower)
+        rig.links.freeze(follower.name)
+        for revision in (11, 12, 13):
+            changed = {f"n{revision}": {"x": revision}}
+            watcher.relay.take_changes(FEED, changed, [], revision)
+        await asyncio.sleep(0.5)
+        rig.links.frozen.discard(follower.name)
+        for link in list(rig.links.open):
+            if link.at == follower.name:
+                link.deliver_waiting()
+        known = []
+        while follower.following.feed(FEED).known < 13:
+            news = await follower.following.next(FEED)
+            follower.following.knows(FEED, news.revision)
+            known.append(news.revision)
+        assert known == [11, 12, 13]
+
+    run(main())
