--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
 from dataclasses import dataclass, field
@@ -10,7 +9,7 @@
 from pathlib import Path
 
 from soak.wire import Wire
-from tests.standins.platformworld import ROOT, Client, free_port
+from tests.standins.platformworld import ROOT, Client, free_port, start_process
 
 # Commands are carried out at once; one that takes this many seconds hangs.
 COMMAND_LIMIT = 30.0
@@ -75,8 +74,8 @@
 class Daemon:
     """One daemon: its process, ports and wires.
 
-    `troubled_until` is the loop's time until which it may not be in touch, `settled`
-    whether nothing was done to it that it may show to callers.
+    `troubled_until` is the monotonic clock's time until which it may not be in touch,
+    `ended_by_us` whether its process ended, or ends, since it was told to.
     """
 
     name: str
@@ -157,18 +156,7 @@
             "advertised_links": daemon.link.address,
             "all_watch_up_to": 0 if len(self.daemons) > 4 else 12,
         }
-        path = self.folder / f"{daemon.name}.json"
-        path.write_text(json.dumps(settings))
-        with (self.folder / f"{daemon.name}.log").open("ab") as log:
-            daemon.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "gypsum_platform",
-                cwd=ROOT,
-                env={**os.environ, "GYPSUMHITCH_SETTINGS": str(path)},
-                stdout=log,
-                stderr=log,
-            )
+        daemon.process = await start_process(self.folder, settings)
         daemon.ended_by_us = daemon.paused = False
 
     def alive(self):
@@ -201,18 +189,6 @@
             daemon.process.send_signal(signal.SIGCONT)
         daemon.paused = False
 
-    async def is_ready(self, daemon):
-        """Ask a daemon whether it takes callers."""
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", daemon.probes)
-            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-            async with asyncio.timeout(1.0):
-                line = await reader.readline()
-            writer.close()
-        except OSError:
-            return False
-        return b" 200 " in line
-
     async def close(self):
         """End all processes and wires."""
         for daemon in self.daemons.values():
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from soak.fleet import Fleet, StandInProcess, connect
 from soak.plan import draw
 from soak.troubles import Troubles
+from tests.standins.platformworld import says_ready
 
 # Callers for each daemon: more than its connections to a member.
 CALLERS_EACH = 3
@@ -83,7 +84,7 @@
     """Wait until all daemons take callers."""
     async with asyncio.timeout(START_LIMIT):
         for daemon in fleet.daemons.values():
-            while not await fleet.is_ready(daemon):
+            while not await says_ready(daemon.probes):
                 await asyncio.sleep(0.1)
 
 
