--- /dev/null
+++ b/tests/platform/test_exchange.py
@@ -0,0 +1,107 @@
+"""Calls over HTTP against peers that answer strangely, late, or not at all."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsum_platform.exchange import AnswerTooLong, Call, CallFailed, exchange
+
+PARTS = st.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 \r\n",
+        b"HTTP/1.1 999\r\n",
+        b"Content-Length: 2\r\n",
+        b"Content-Length: -2\r\n",
+        b"Content-Length: x\r\n",
+        b"Content-Length: 2, 3\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"2\r\n{}\r\n0\r\n\r\n",
+        b"zz\r\n",
+        b": \r\n",
+        b"\r\n",
+        b"{}",
+        b"\xff\x00",
+    ]
+)
+
+
+def answers(data, *, closes=True, **options):
+    """What a call makes of bytes that a peer answers, before it closes if it does."""
+
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            if closes:
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        call = Call(
+            method="GET",
+            address=f"127.0.0.1:{port}",
+            path="/",
+            first_byte=5.0,
+            **options,
+        )
+        try:
+            return await exchange(call)
+        finally:
+            server.close()
+
+    return asyncio.run(main())
+
+
+def test_a_plain_answer():
+    answer = answers(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+    assert (answer.code, answer.body) == (200, b"{}")
+
+
+def test_an_answer_without_a_length_ends_with_the_connection():
+    assert answers(b"HTTP/1.1 200 OK\r\n\r\nhello").body == b"hello"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2, 3\r\n\r\n{}",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_what_is_no_whole_answer_is_an_error(data, caplog):
+    """Symptom: a traceback of a library among log lines that are all JSON.
+
+    Sequence: something between us and the store answers with a length that is no
+    number. Cause: it was read before the library had checked it.
+    """
+    with pytest.raises(CallFailed):
+        answers(data)
+    assert [item for item in caplog.records if item.exc_info] == []
+
+
+def test_an_answer_that_tells_its_length_is_not_read_if_it_is_too_long():
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+    with pytest.raises(AnswerTooLong):
+        answers(head, closes=False, most_bytes=99)
+    assert len(answers(head + b"x" * 100, most_bytes=100).body) == 100
+
+
+def test_an_address_that_is_none_is_an_error():
+    call = Call(method="GET", address="10.0.0.1:http", path="/", first_byte=1.0)
+    with pytest.raises(CallFailed):
+        asyncio.run(exchange(call))
+
+
+@given(st.lists(PARTS, max_size=8))
+@settings(max_examples=60)
+def test_whatever_is_answered_it_is_an_answer_or_an_error_of_ours(parts):
+    try:
+        answers(b"".join(parts))
+    except CallFailed:
+        return
