--- a/soak/standins.py
+++ b/soak/standins.py
@@ -129,9 +129,8 @@
 
     def leave(self, name):
         """A member says that it leaves."""
-        known = self.world.store.kinds[UPSTREAM_KIND][name]["spec"]
         self.group[name].leaving = True
-        self.world.store.put(UPSTREAM_KIND, name, {**known, "state": "draining"})
+        self.list(name)
 
     def gone(self, name):
         """A member that said so is gone."""
--- a/tests/standins/platformworld.py
+++ b/tests/standins/platformworld.py
@@ -88,7 +88,7 @@
             "address": self.addresses[member.id],
             "zone": "a",
             "capacity": 5,
-            "state": "ready",
+            "state": "draining" if member.leaving else "ready",
             "dbRole": "primary" if member.leads else "replica",
         }
         self.store.put(UPSTREAM_KIND, member.id, spec)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from soak.troubles import Troubles
 from soak.wire import Wire
 from tests.promises import Acked, SentRead
+from tests.standins.platformworld import World
 
 # CI plays this one; `make soak` draws others.
 SEED = 1
@@ -174,6 +175,25 @@
     asyncio.run(main())
 
 
+def test_a_member_that_leaves_says_so_until_it_is_gone(tmp_path):
+    """Symptom: DRAIN, reads at an upstream that has been leaving for 8 s.
+
+    Sequence: the primary says that it leaves, another one is promoted, all entries are
+    written anew. Cause: the stand-in wrote it as ready.
+    """
+
+    async def main():
+        world = World(folder=tmp_path)
+        world.addresses = {item.id: "10.0.0.1:1" for item in world.group.members}
+        world.group["u1"].leaving = True
+        world.promoted("u2")
+        entries = world.store.kinds["servers"]
+        states = {name: entry["spec"]["state"] for name, entry in entries.items()}
+        assert states == {"u1": "draining", "u2": "ready", "u3": "ready"}
+
+    asyncio.run(main())
+
+
 def test_a_wire_carries_rewrites_silences_and_resets():
     async def main():
         async def serve(reader, writer):
