--- a/tests/sessions/test_drain.py
+++ b/tests/sessions/test_drain.py
@@ -3,60 +3,18 @@
 import asyncio
 
 from gypsum_platform.codec import read_statement
-from gypsum_sessions.callers.caller import Caller
 from gypsum_sessions.callers.drain import drain, plan_for
 from gypsum_sessions.replies import Refusal, SessionState
+from tests.sessions.connected import connect
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
 
-class FakeLink:
-    """A caller's end of the connection; keeps what it gets."""
-
-    def __init__(self):
-        self.replies = []
-        self.greeted = False
-        self.final = None
-        self.closed_at = None
-
-    def send_greeting(self):
-        """The session is open."""
-        self.greeted = True
-
-    def send_reply(self, reply):
-        """A reply came."""
-        assert self.closed_at is None
-        self.replies.append(reply)
-
-    def send_final(self, refusal, detail):
-        """The session is refused."""
-        self.final = refusal
-
-    async def drained(self):
-        """Nothing is ever waited for."""
-
-    def close(self):
-        """The connection is closed."""
-        if self.closed_at is None:
-            self.closed_at = asyncio.get_running_loop().time()
-
-
-async def connect(rig, database="own"):
-    """A caller with an open session."""
-    link = FakeLink()
-    caller = Caller(proxy=rig.proxy, link=link)
-    caller.start()
-    caller.opening(database)
-    await asyncio.sleep(0.01)
-    assert link.greeted
-    return caller, link
-
-
 def test_idle_sessions_are_closed_in_turn_after_the_balancer_noticed():
     async def main():
         rig = Rig()
         await rig.settle()
-        links = [(await connect(rig))[1] for _ in range(20)]
+        links = [(await connect(rig.proxy))[1] for _ in range(20)]
         plan = plan_for(6.0)
         began = rig.loop.time()
         await drain(rig.proxy, plan, lambda: None)
@@ -77,7 +35,7 @@
         )
         await asyncio.sleep(1.0)
         assert not rig.proxy.ready
-        caller, link = await connect(rig)
+        caller, link = await connect(rig.proxy)
         caller.statement("r1", read_statement("WRITE a 1"))
         await task
         assert link.replies[0].ok
@@ -90,7 +48,7 @@
     async def main():
         rig = Rig()
         await rig.settle()
-        caller, link = await connect(rig)
+        caller, link = await connect(rig.proxy)
         task = asyncio.create_task(drain(rig.proxy, plan_for(6.0), lambda: None))
         caller.statement("r1", read_statement("BEGIN"))
         caller.statement("r2", read_statement("WRITE a 1"))
@@ -113,7 +71,7 @@
     async def main():
         rig = Rig()
         await rig.settle()
-        caller, link = await connect(rig)
+        caller, link = await connect(rig.proxy)
         caller.statement("r1", read_statement("BEGIN"))
         caller.statement("r2", read_statement("WRITE a 1"))
         await asyncio.sleep(0.1)
