An owner without a free connection hands a new transaction on

Cause: in a roll the restarted owners hold two connections each; transactions that pause hold these, and others wait for one until their deadline at one owner while the next has some that are idle: 'acquire: u1: no free connection', told as no proven primary.

Ruled out: more connections soon after a start.

Change: an owner asked to open a transaction answers that it is unable when that would wait for a connection; after two such answers the third has to try.

--- a/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -172,11 +172,18 @@
         departure, opens = self.proxy.departure, bool(ask.transaction)
         if departure and not departure.takes(opens=opens, last_resort=ask.last_resort):
             return "this daemon leaves"
-        if ask.last_resort or group.watch.last_leader:
+        if ask.last_resort:
             return ""
-        # What goes wrong without it: a daemon that has just started is asked first, as
-        # before, and statements wait for its connections beside owners that have some.
-        return "no primary was proven here yet"
+        if not group.watch.last_leader:
+            # What goes wrong without it: a daemon that has just started is asked first,
+            # as before, and statements wait for its proof beside owners that have one.
+            return "no primary was proven here yet"
+        if opens and not group.has_connection(writes=ask.opens_writing):
+            # What goes wrong without it: transactions that pause hold all connections
+            # of one owner, others wait for them until their deadline, and another owner
+            # has some that are idle.
+            return "no connection is free here"
+        return ""
 
     async def run_inside(self, group, ask, job):
         """Run a statement of a transaction, which its first one opens."""
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -121,6 +121,16 @@
         """Statements that this daemon may have at an upstream at once."""
         return work_limit(member.slots, self.around.daemons.owner_count(self.spec))
 
+    def has_connection(self, *, writes):
+        """Tell whether a transaction can be opened without waiting for a connection."""
+        leader = self.watch.leader
+        items = [
+            item
+            for item in self.upstreams.values()
+            if item.id == leader or not (writes and leader)
+        ]
+        return any(item.pool.has_room() for item in items)
+
     def trim(self):
         """Close connections that are not needed; the limit follows the daemons."""
         for item in self.upstreams.values():
--- a/tests/sessions/test_remote.py
+++ b/tests/sessions/test_remote.py
@@ -309,3 +309,30 @@
 def test_bytes_that_are_no_message_are_refused(data):
     with pytest.raises(MessageError):
         decode(data)
+
+
+def test_a_transaction_goes_to_an_owner_that_has_a_connection_free():
+    """Symptom: transactions wait until their deadline while connections are idle.
+
+    Sequence: transactions that pause hold all connections of one owner; the next one
+    comes to it. Cause: an owner waited for its own connections, whatever others have.
+    """
+
+    async def main():
+        rig = await make_rig()
+        other = rig.others()[0]
+        owner = first_owner(rig)
+        pool = rig.links.proxies[owner].groups["db"].upstreams["u1"].pool
+        paused = [rig.caller("own", other) for _ in range(pool.limit)]
+        for caller in paused:
+            await caller.send("BEGIN")
+            assert (await caller.send(f"WRITE {caller.next_request} 1")).ok
+        assert not pool.has_room()
+        began = rig.loop.time()
+        caller = rig.caller("own", other)
+        await caller.send("BEGIN")
+        assert (await caller.send("WRITE a 1")).ok
+        assert owner_of(caller) != owner
+        assert rig.loop.time() - began < 0.1
+
+    run(main())
