--- /dev/null
+++ b/tests/sessions/fleetrig.py
@@ -0,0 +1,148 @@
+"""A fleet that starts before an empty store in virtual time: who calls it, how often.
+
+The daemons register, find each other, share a key and follow watchers, by the code of
+the real program; groups and callers are left out.
+"""
+
+import asyncio
+from collections import Counter
+from random import Random
+
+from gypsum_platform.feeds import Feed, Waker
+from gypsum_platform.leases import OWN_KIND
+from gypsum_platform.registrar import Registrar
+from gypsum_platform.store import Conflict
+from gypsum_platform.takers import (
+    CONFIG_KIND,
+    UPSTREAM_GATHER,
+    UPSTREAM_KIND,
+    OwnTaker,
+)
+from gypsum_sessions.proxy import Proxy
+from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
+from tests.sessions.fakelinks import FakeLinks
+from tests.sessions.feedrig import Copy, VirtualClient, VirtualStore
+
+# Within this all processes of a fleet have started, seconds: 0.3 between the machines,
+# and what the imports take on half a core.
+STARTS_WITHIN = 1.2
+
+
+class CountingClient(VirtualClient):
+    """A daemon's client that counts its calls by step and kind, and may write."""
+
+    def __init__(self, *, store, daemon, counts):
+        super().__init__(store=store, daemon=daemon)
+        self.counts = counts
+
+    async def list_objects(self, kind):
+        """A list."""
+        self.counts["list", kind] += 1
+        return await super().list_objects(kind)
+
+    async def watch(self, kind, since, *, wait_ms):
+        """A watch."""
+        self.counts["watch", kind] += 1
+        return await super().watch(kind, since, wait_ms=wait_ms)
+
+    async def create(self, kind, name, spec):
+        """Create an object; raises Conflict if it is there."""
+        self.counts["create", kind] += 1
+        await self.arrive("create", 2.0)
+        found = self.store.kinds[kind].get(name)
+        if found is not None:
+            raise Conflict("is there", step="create", peer="store", current=found)
+        self.store.put(kind, name, spec)
+
+    async def replace(self, kind, name, spec, *, revision):
+        """Replace an object."""
+        self.counts["replace", kind] += 1
+        await self.arrive("replace", 2.0)
+        self.store.put(kind, name, spec)
+
+
+class FleetRig:
+    """Daemons in some failure domains that start within a moment."""
+
+    def __init__(self, *, daemons, domains=5, seed=1):
+        self.loop = asyncio.get_running_loop()
+        self.rng = Random(seed)
+        self.store = VirtualStore()
+        self.store.kinds[OWN_KIND] = {}
+        self.store.put(CONFIG_KIND, "main", {"version": 1})
+        for number in range(30):
+            self.store.put(UPSTREAM_KIND, f"s{number}", {"address": f"a:{number}"})
+        self.links = FakeLinks(loop=self.loop)
+        self.counts = Counter()
+        self.proxies = []
+        self.log = lambda *args, **fields: None
+        for number in range(daemons):
+            delay = self.rng.random() * STARTS_WITHIN
+            name, domain = f"d{number}", f"z{number % domains}"
+            self.loop.call_later(delay, self.start, name, domain)
+
+    def start(self, name, domain):
+        """One process starts."""
+        proxy = Proxy(
+            name=name,
+            domain=domain,
+            drain_seconds=7.0,
+            clock=self.loop.clock,
+            dialer=None,
+            leases=None,
+            promoter=None,
+            member_list=None,
+            records=None,
+            tuning=DEFAULT_SESSION_TUNING,
+            log=self.log,
+            observe=lambda *args: None,
+            links=self.links.dialer(name),
+            link_address=name,
+        )
+        self.links.proxies[name] = proxy
+        self.proxies.append(proxy)
+        client = CountingClient(store=self.store, daemon=name, counts=self.counts)
+        own_taker = OwnTaker(proxy=proxy, own_name=name)
+        waker = Waker()
+        takers = {
+            CONFIG_KIND: (Copy(), 0.0),
+            UPSTREAM_KIND: (Copy(), UPSTREAM_GATHER),
+            OWN_KIND: (own_taker, 0.0),
+        }
+        for kind, (taker, gather) in takers.items():
+            feed = Feed(
+                store=client,
+                kind=kind,
+                take_all=taker.take_all,
+                take_change=taker.take_change,
+                log=self.log,
+                waker=waker,
+                gather=gather,
+                caught_up=proxy.board.note_known if kind == OWN_KIND else None,
+                relay=proxy.relay,
+                following=proxy.following,
+            )
+            proxy.keep_running(feed.run)
+        registrar = Registrar(
+            store=client,
+            own=proxy.daemons.own,
+            taker=own_taker,
+            log=self.log,
+            waker=waker,
+        )
+        for work in (registrar.run, proxy.relay.run, proxy.following.run):
+            proxy.keep_running(work)
+
+    def calls(self):
+        """Calls of all daemons since the last look, by step and kind."""
+        found, self.counts = Counter(self.counts), self.counts
+        self.counts.clear()
+        return found
+
+    def unaware(self):
+        """Daemons that do not know all others."""
+        return [
+            proxy.name
+            for proxy in self.proxies
+            if len(proxy.daemons.known) < len(self.proxies)
+        ]
