--- a/packages/sessions/gypsum_sessions/measures.py
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -40,6 +40,11 @@
             "Each upstream's open connections, connections dialled, mean seconds.",
             registry=self.registry,
         )
+        self.store_calls = Counter(
+            "gypsum_store_calls_total",
+            "Calls to the store, by step and kind of object.",
+            registry=self.registry,
+        )
         self.drain_ended = Counter(
             "gypsum_drain_ended_transactions_total",
             "Transactions that were rolled back because this daemon was told to stop.",
@@ -80,6 +85,11 @@
                 self.upstreams.set({**labels, "what": "dials"}, item.pool.dials)
                 self.upstreams.set({**labels, "what": "mean_seconds"}, item.mean)
 
+    def take_calls(self, calls):
+        """Refresh the calls to the store: numbers by step and kind."""
+        for (step, kind), number in calls.items():
+            self.store_calls.set({"step": step, "kind": kind}, number)
+
     def render(self, accepts):
         """The metrics in Prometheus' text form: (body, headers)."""
         return render(self.registry, accepts)
--- a/tests/sessions/test_measures.py
+++ b/tests/sessions/test_measures.py
@@ -54,3 +54,25 @@
     metrics = run(main())
     assert counted(metrics, "primary", "leader") == 1
     assert len(all_labels(metrics)) == 1
+
+
+def test_calls_to_the_store_are_counted_by_step_and_kind():
+    metrics = SessionMetrics()
+    metrics.take_calls({("watch", "servers"): 3, ("list", "config"): 1})
+    metrics.take_calls({("watch", "servers"): 5})
+    body, _ = metrics.render([])
+    text = body.decode()
+    assert 'gypsum_store_calls_total{kind="servers",step="watch"} 5' in text
+    assert 'gypsum_store_calls_total{kind="config",step="list"} 1' in text
+
+
+def test_transactions_that_a_drain_ended_are_counted():
+    async def main():
+        rig = Rig()
+        rig.proxy.drain_ended = 2
+        metrics = SessionMetrics()
+        metrics.take(rig.proxy, 0)
+        return metrics
+
+    body, _ = run(main()).render([])
+    assert "gypsum_drain_ended_transactions_total 2" in body.decode()
