--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/policy packages/model platform packages/upstream packages/links packages/sessions packages/daemon packages/cli
 
-.PHONY: ablation soak setup test lint format demo demo-platform bench fuzz matrix capacity clean
+.PHONY: ablation soak setup test lint format demo demo-platform bench fuzz matrix capacity gates clean
 
 setup: $(STAMP)
 
@@ -50,6 +50,12 @@
 soak: setup
 	$(PY) -m soak $(SEED:%=--seed %) --minutes $(MINUTES) --runs $(RUNS) --daemons $(DAEMONS)
 
+# BENCH is the users' bench program, PAGES the folder of their pages, SITES names some of
+# bench/sites.json, all if it is left out.
+LOGS ?= target/gates
+gates: setup
+	$(PY) -m bench.gates --bench $(BENCH) --pages $(PAGES) --logs $(LOGS) $(SITES:%=--site %)
+
 capacity: setup
 	$(PY) -m bench.capacity
 
