--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 import cappa
 
 from soak.run import soak
+from tests.standins.platformworld import CONNECTIONS
 
 FRESH = 1 << 31
 
@@ -28,6 +29,12 @@
     runs: Annotated[int, cappa.Arg(long=True, help="How many seeds.")] = 1
     minutes: Annotated[float, cappa.Arg(long=True, help="Troubles of one run.")] = 1.0
     daemons: Annotated[int, cappa.Arg(long=True, help="Processes.")] = 9
+    connections: Annotated[
+        int, cappa.Arg(long=True, help="What an upstream takes; few: owners.")
+    ] = CONNECTIONS
+    planned: Annotated[
+        bool, cappa.Arg(long=True, help="Restarts and changes alone.")
+    ] = False
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder of logs; one of its own if not.")
     ] = None
@@ -49,6 +56,8 @@
                 seconds=60 * options.minutes,
                 daemons=options.daemons,
                 folder=place,
+                connections=options.connections,
+                planned=options.planned,
             )
         )
         print(began, *outcome.lines(), sep="\n", flush=True)
--- a/soak/book.py
+++ b/soak/book.py
@@ -115,6 +115,16 @@
         if word != "WRITE" and len(rows) != 1:
             self.broken.append(f"MIXED {request}: {len(rows)} rows")
 
+    def ended(self, request, end):
+        """A statement inside a transaction failed: only troubles may do that.
+
+        One that was open when a daemon was told to stop has most of the grace to end,
+        and transactions here take a second; one that came later is opened elsewhere.
+        """
+        calm = time.monotonic() - self.calm_since > CALM_FOR
+        if calm and not self.leaving and end != "COMPLETE":
+            self.broken.append(f"ENDED {request}: {end} while all was calm")
+
     def cut(self, daemon, request, sent_at):
         """A connection ended before an answer: only troubles may do that."""
         now, began = time.monotonic(), self.draining.get(daemon.name)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -148,7 +148,9 @@
         if end != "COMPLETE":
             raise SessionOver
         for _ in range(self.rng.randint(0, 4)):
+            request = self.client.next_request
             end = await self.inside(writing, began, wrote)
+            self.book.ended(request, end)
             if end != "COMPLETE":
                 break
             await asyncio.sleep(self.rng.random() * 0.2)
@@ -156,8 +158,10 @@
             await self.query("ROLLBACK")
             self.book.promised += wrote
             return
-        self.book.transactions[self.client.next_request] = self.name
+        request = self.client.next_request
+        self.book.transactions[request] = self.name
         _, end = await self.query("COMMIT")
+        self.book.ended(request, end)
         if wrote:
             self.settle(wrote, end)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,8 +19,9 @@
 class StandInProcess:
     """The stand-ins' process; what it tells goes to `heard`."""
 
-    def __init__(self, *, heard):
+    def __init__(self, *, heard, connections):
         self.heard = heard
+        self.connections = connections
         self.process = None
         self.numbers = count()
         self.waiting = {}
@@ -33,6 +34,7 @@
             sys.executable,
             "-m",
             "soak.standins",
+            str(self.connections),
             cwd=ROOT,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -43,6 +43,8 @@
     "configure_large": 2,
     "configure_storm": 1,
 }
+# Planned work alone, none of which may end a transaction before its time.
+PLANNED = {"drain": 3, "drain_some": 3, "roll": 2, "hup": 1, "configure": 2}
 # Pauses between troubles, seconds: often shorter than they last.
 PAUSES = (0.05, 0.3, 0.8, 1.5, 3.0)
 LASTS = (0.3, 1.0, 2.5, 5.0)
@@ -64,11 +66,11 @@
     lasts: float
 
 
-def draw(seed, seconds):
-    """The steps of a run."""
+def draw(seed, seconds, kinds=WEIGHTS):
+    """The steps of a run; `kinds` are troubles and how often they come."""
     rng, at = Random(seed), FIRST
     steps = [Step(at=FIRST / 2, trouble=CHANGE, lasts=0.0)]
-    names, weights = list(WEIGHTS), list(WEIGHTS.values())
+    names, weights = list(kinds), list(kinds.values())
     while at < seconds:
         name = rng.choices(names, weights)[0]
         for _ in range(rng.choice(SERIES)):
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,9 +11,9 @@
 from soak.callers import Caller
 from soak.configs import Configs
 from soak.fleet import Fleet, StandInProcess, connect
-from soak.plan import draw
+from soak.plan import PLANNED, WEIGHTS, draw
 from soak.troubles import Troubles
-from tests.standins.platformworld import says_ready
+from tests.standins.platformworld import CONNECTIONS, says_ready
 
 # Callers for each daemon: more than its connections to a member.
 CALLERS_EACH = 3
@@ -49,13 +49,20 @@
         yield f"findings: {len(self.broken) + len(self.exits)}"
 
 
-async def soak(*, seed, seconds, daemons, folder):
-    """Play one seed; returns its outcome. Logs and settings stay in the folder."""
+async def soak(
+    *, seed, seconds, daemons, folder, connections=CONNECTIONS, planned=False
+):
+    """Play one seed; returns its outcome. Logs and settings stay in the folder.
+
+    `connections` is what an upstream takes: with few some daemons own the group, and
+    the others send them statements. `planned` draws planned work alone.
+    """
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    steps, book, stats = draw(seed, seconds), Book(), Stats()
+    steps = draw(seed, seconds, PLANNED if planned else WEIGHTS)
+    book, stats = Book(), Stats()
     (folder / "schedule.txt").write_text("\n".join(map(str, steps)) + "\n")
-    standins = StandInProcess(heard=book.heard)
+    standins = StandInProcess(heard=book.heard, connections=connections)
     fleet = Fleet(folder=folder, standins=standins)
     began = time.monotonic()
     try:
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -70,8 +70,8 @@
 class StandIns:
     """The world of the process tests without its daemons, moved by commands."""
 
-    def __init__(self):
-        self.world = World(folder=".")
+    def __init__(self, *, connections):
+        self.world = World(folder=".", connections=connections)
         self.group = self.world.group
         self.group.watch = Observer(group=self.group)
         self.version = 1
@@ -150,7 +150,7 @@
         """A new version: routes more, routes less, and many that nobody asks for."""
         self.version += 1
         self.added = [name for name in (*self.added, *add) if name not in drop]
-        spec = configuration(self.version)
+        spec = configuration(self.version, self.world.connections)
         spec["routes"] += [route(name, "read_your_writes") for name in self.added]
         spec["routes"] += [route(f"bulk{n}", "primary") for n in range(bulk)]
         self.world.store.put(CONFIG_KIND, CONFIG_NAME, spec)
@@ -186,7 +186,7 @@
 
 async def main():
     """Serve until standard input ends."""
-    standins = StandIns()
+    standins = StandIns(connections=int(sys.argv[1]))
     await standins.start()
     await standins.run()
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -4,6 +4,8 @@
 import signal
 import time
 
+from soak.plan import PLANNED
+
 # After its trouble a daemon may be out of touch for this much longer, seconds.
 OUT_OF_TOUCH = 5.0
 LARGE = 1500
@@ -25,7 +27,7 @@
 
     async def play(self, step):
         """One trouble from its beginning to its end."""
-        planned = step.trouble in ("drain", "roll", "hup", "configure", "member_leaves")
+        planned = step.trouble in PLANNED or step.trouble == "member_leaves"
         if not planned:
             self.on += 1
             self.book.calm_since = float("inf")
@@ -73,6 +75,12 @@
         """A process is told to end, and started again."""
         await self.restart(self.any_daemon(), signal.SIGTERM, lasts)
 
+    async def drain_some(self, lasts):
+        """A third of the processes at the same moment: perhaps all owners."""
+        await asyncio.gather(
+            *(self.restart(daemon, signal.SIGTERM, lasts / 5) for daemon in self.some())
+        )
+
     async def roll(self, lasts):
         """Three processes in turn."""
         for daemon in self.some():
--- a/tests/standins/platformworld.py
+++ b/tests/standins/platformworld.py
@@ -25,9 +25,11 @@
 # A daemon that stands still answers no probe: it is not ready, seconds.
 READY_LIMIT = 2.0
 PICKS = count()
+# Connections that an upstream takes: enough for all daemons to hold some.
+CONNECTIONS = 40
 
 
-def configuration(version=1):
+def configuration(version=1, connections=CONNECTIONS):
     """The operator's configuration: one database for each kind of route."""
     routes = [
         route("own", "read_your_writes", maxStalenessMs=2500),
@@ -37,7 +39,7 @@
     return {
         "configVersion": version,
         "routes": routes,
-        "services": [{"name": GROUP, "maxConns": 40, "syncReplicas": 1}],
+        "services": [{"name": GROUP, "maxConns": connections, "syncReplicas": 1}],
         "limits": {"txIdleMs": 3000},
     }
 
@@ -58,8 +60,9 @@
 class World:
     """Stand-ins in this process, daemons as processes of their own."""
 
-    def __init__(self, *, folder):
+    def __init__(self, *, folder, connections=CONNECTIONS):
         self.folder = Path(folder)
+        self.connections = connections
         self.store = ObjectStore()
         self.group = FakeGroup(name=GROUP).add()
         self.addresses = {}
@@ -71,7 +74,8 @@
     async def start(self, daemons=3):
         """Start everything; returns when all daemons are ready."""
         self.store.promote = self.promote
-        self.store.put(CONFIG_KIND, CONFIG_NAME, configuration())
+        spec = configuration(connections=self.connections)
+        self.store.put(CONFIG_KIND, CONFIG_NAME, spec)
         for member in self.group.members:
             self.servers[member.id], self.addresses[member.id] = await listen(member)
             self.list_member(member)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from gypsum_sessions.catalog import ReadRule
 from soak.book import CALM_FOR, DRAIN_LIMIT, Book
 from soak.configs import IN_FORCE, Configs
-from soak.plan import WEIGHTS, draw
+from soak.plan import PLANNED, WEIGHTS, draw
 from soak.run import soak
 from soak.troubles import Troubles
 from soak.wire import Wire
@@ -130,6 +130,21 @@
     assert words(made) == ["LOST", "LOST", "LOST"]
 
 
+def test_a_transaction_that_fails_while_all_is_calm_is_noticed():
+    made = book("a-1")
+    made.calm_since = time.monotonic()
+    made.ended("a-1", "ABORTED")
+    assert made.broken == []
+    made.calm_since -= CALM_FOR + 1.0
+    made.ended("a-1", "COMPLETE")
+    assert made.broken == []
+    made.ended("a-1", "ABORTED")
+    assert words(made) == ["ENDED"]
+    made.leaving["u1"] = time.monotonic()
+    made.ended("a-1", "ABORTED")
+    assert words(made) == ["ENDED"]
+
+
 def test_the_end_shows_what_was_lost_doubled_kept_or_promoted_twice():
     made = book()
     made.acked.append(Acked(data=("a",), at=1.0, session="s"))
@@ -225,7 +240,8 @@
 
 def test_a_seed_draws_the_same_troubles_and_each_exists():
     assert draw(7, 60.0) == draw(7, 60.0) != draw(8, 60.0)
-    assert all(hasattr(Troubles, name) for name in WEIGHTS)
+    assert all(hasattr(Troubles, name) for name in {**WEIGHTS, **PLANNED})
+    assert {step.trouble for step in draw(7, 60.0, PLANNED)} <= set(PLANNED)
 
 
 @pytest.mark.xdist_group("platform processes")
@@ -233,3 +249,20 @@
     outcome = asyncio.run(soak(seed=SEED, seconds=SECONDS, daemons=3, folder=tmp_path))
     assert outcome.broken == [] and outcome.exits == []
     assert outcome.statements > 0
+
+
+@pytest.mark.xdist_group("platform processes")
+def test_a_short_run_of_owners_that_are_restarted_breaks_nothing(tmp_path):
+    """Three of five daemons own the group; restarts alone end no transaction."""
+    outcome = asyncio.run(
+        soak(
+            seed=SEED,
+            seconds=SECONDS,
+            daemons=5,
+            folder=tmp_path,
+            connections=9,
+            planned=True,
+        )
+    )
+    assert outcome.broken == [] and outcome.exits == []
+    assert outcome.statements > 0
