A daemon that leaves says for how long it still opens transactions

Change: the word that a daemon leaves carries for how many seconds it still opens transactions; after that no peer asks it to. The test failed first (the daemon was asked).

--- a/packages/sessions/gypsum_sessions/callers/drain.py
+++ b/packages/sessions/gypsum_sessions/callers/drain.py
@@ -31,6 +31,11 @@
         """When everything that runs has to be answered."""
         return self.began + self.plan.answers
 
+    @property
+    def opens_for(self):
+        """Seconds for which transactions of other daemons are still opened."""
+        return max(0.0, self.plan.notice - self.passed)
+
     @property
     def closes_sessions(self):
         """Tell whether a session is closed as soon as it waits for nothing."""
--- a/packages/sessions/gypsum_sessions/daemons/asks.py
+++ b/packages/sessions/gypsum_sessions/daemons/asks.py
@@ -66,9 +66,12 @@
 class Leaving(Struct, frozen=True, kw_only=True, array_like=True, tag="leaving"):
     """The owner drains: ask another one from now on.
 
-    The first word on each link that is opened to one that drains.
+    The first word on each link that is opened to one that drains. For `opens_for`
+    seconds it still opens transactions, if nobody else can.
     """
 
+    opens_for: float = 0.0
+
 
 class TakeUp(Struct, frozen=True, kw_only=True, array_like=True, tag="take up"):
     """Be ready to own a group: those that own it leave."""
--- a/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -243,8 +243,10 @@
 
     def tell_leaving(self):
         """Ask the other daemon to send new work elsewhere."""
+        departure = self.proxy.departure
+        opens_for = departure.opens_for if departure else 0.0
         if not self.closed:
-            self.frames.send(encode(Leaving()))
+            self.frames.send(encode(Leaving(opens_for=opens_for)))
 
     def end_waiting(self):
         """Roll back transactions that wait for their callers.
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -93,6 +93,7 @@
         self.numbers = 0
         self.heard_at = clock()
         self.leaving = False
+        self.opens_until = float("inf")
         self.gone = ""
         self.watching = None
         self.following = None
@@ -109,6 +110,7 @@
             return
         if isinstance(message, Leaving):
             self.leaving = True
+            self.opens_until = self.clock() + message.opens_for
         elif isinstance(message, Answer | LeaderAnswer):
             fut = self.waiting.pop(message.call, None)
             if fut is not None and not fut.done():
@@ -237,6 +239,14 @@
         link = self.links.get(name)
         return link is not None and not link.gone and link.leaving
 
+    def opens(self, name):
+        """Tell whether a daemon may open a transaction, as far as we know.
+
+        What goes wrong without it: where all that could have just started or leave, one
+        that leaves is asked as it ends, and the statement is lost on the way.
+        """
+        return not self.leaves(name) or self.clock() < self.links[name].opens_until
+
     def in_turn(self, names, owners):
         """Other daemons of a group's order in the turn in which we ask them.
 
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -223,6 +223,8 @@
         """Ask each owner once to open it; the first answer, None if nobody could."""
         unable = 0
         for name in self.access.owners():
+            if not self.access.peers.opens(name):
+                continue
             if not await self.take_link(job, name):
                 continue
             last_resort = self.access.last_resort(name, asked_all, unable)
--- a/tests/sessions/test_leaving.py
+++ b/tests/sessions/test_leaving.py
@@ -146,6 +146,37 @@
     run(main())
 
 
+def test_no_transaction_is_sent_to_a_daemon_that_opens_none_any_more():
+    """Symptom: a transaction's first statement is lost, and told as rolled back.
+
+    Sequence: all daemons leave but for some that have just started; one of those that
+    leave is asked to open a transaction at the moment at which its process ends. Cause:
+    it was asked although it had said that it leaves, and opens none.
+    """
+
+    async def main():
+        rig = await make_rig()
+        other = rig.others()[0]
+        for proxy in rig.proxies:
+            if proxy is not other:
+                await other.peers.link(proxy.name, 0.4)
+                start_drain(proxy)
+        await asyncio.sleep(NOTICED)
+        asked = []
+        for desk in [desk for proxy in rig.proxies for desk in proxy.desks]:
+            desk.take = asked.append
+        caller = rig.caller("own", other)
+        await caller.send("BEGIN")
+        sending = asyncio.create_task(caller.send("WRITE a 1"))
+        await asyncio.sleep(0.1)
+        assert asked == []
+        fresh = restart(rig, rig.owners()[0])
+        assert (await sending).ok
+        assert owner_of(caller) == fresh.name
+
+    run(main())
+
+
 def test_a_single_statement_that_comes_after_the_notice_runs_elsewhere():
     async def main():
         rig = await make_rig()
