--- /dev/null
+++ b/tests/platform/test_main.py
@@ -0,0 +1,42 @@
+"""The entry point of the daemon on the platform."""
+
+import signal
+import sys
+from types import ModuleType
+
+import pytest
+
+from gypsum_platform.__main__ import SETTINGS_VARIABLE, main
+
+
+@pytest.fixture(autouse=True)
+def keep_handler():
+    """Leave the signal as it was."""
+    before = signal.getsignal(signal.SIGTERM)
+    yield
+    signal.signal(signal.SIGTERM, before)
+
+
+def test_a_daemon_that_is_told_to_stop_as_it_starts_ends_in_order(monkeypatch):
+    """Symptom: `EXIT d8 ended with -15 when it was told to`.
+
+    Sequence: a daemon is restarted, and told to stop while it imports what it needs.
+    Cause: the signal was handled only once all was imported.
+    """
+    program = ModuleType("gypsum_platform.daemon")
+
+    def run(path):
+        with pytest.raises(SystemExit) as ended:
+            signal.getsignal(signal.SIGTERM)(signal.SIGTERM, None)
+        return ended.value.code
+
+    program.run = run
+    monkeypatch.setitem(sys.modules, "gypsum_platform.daemon", program)
+    monkeypatch.setenv(SETTINGS_VARIABLE, "settings.json")
+    assert main() == 0
+
+
+def test_a_daemon_without_settings_says_so(monkeypatch, capsys):
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    assert main() == 2
+    assert SETTINGS_VARIABLE in capsys.readouterr().err
