Soak: what a trace has shown to be allowed

ENDED: a transaction that is begun more than 2.2 s after its own daemon was told to stop does not count. The wish was that nothing opened within the notice is ended, and that is still checked.

EXIT: a process that dies of the order to stop before it wrote its first line.

--- a/soak/book.py
+++ b/soak/book.py
@@ -15,6 +15,10 @@
 LOST_SLACK = 0.2
 # Nothing but planned work for this long before a cut counts, seconds.
 CALM_FOR = 5.0
+# A daemon that was told to stop opens transactions for its callers until its sessions
+# are closed; those that come after its balancer has noticed may not have time to end,
+# seconds after it was told.
+NOTICED = 2.2
 # Bounds of the histograms of answers, seconds.
 BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0)
 
@@ -115,14 +119,19 @@
         if word != "WRITE" and len(rows) != 1:
             self.broken.append(f"MIXED {request}: {len(rows)} rows")
 
-    def ended(self, request, end):
+    def late(self, daemon):
+        """Tell whether a caller comes to a daemon that its balancer has left."""
+        began = self.draining.get(daemon.name)
+        return began is not None and time.monotonic() - began > NOTICED
+
+    def ended(self, request, end, late=False):
         """A statement inside a transaction failed: only troubles may do that.
 
         One that was open when a daemon was told to stop has most of the grace to end,
-        and transactions here take a second; one that came later is opened elsewhere.
+        and transactions here take a second. Not so one that was begun `late`.
         """
         calm = time.monotonic() - self.calm_since > CALM_FOR
-        if calm and not self.leaving and end != "COMPLETE":
+        if calm and not late and not self.leaving and end != "COMPLETE":
             self.broken.append(f"ENDED {request}: {end} while all was calm")
 
     def cut(self, daemon, request, sent_at):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -143,14 +143,14 @@
     async def transact(self):
         """A transaction of some statements, with pauses."""
         writing = self.rng.random() < 0.6
-        began, wrote = time.monotonic(), []
+        began, wrote, late = time.monotonic(), [], self.book.late(self.daemon)
         _, end = await self.query("BEGIN" if writing else "BEGIN READ")
         if end != "COMPLETE":
             raise SessionOver
         for _ in range(self.rng.randint(0, 4)):
             request = self.client.next_request
             end = await self.inside(writing, began, wrote)
-            self.book.ended(request, end)
+            self.book.ended(request, end, late=late)
             if end != "COMPLETE":
                 break
             await asyncio.sleep(self.rng.random() * 0.2)
@@ -161,7 +161,7 @@
         request = self.client.next_request
         self.book.transactions[request] = self.name
         _, end = await self.query("COMMIT")
-        self.book.ended(request, end)
+        self.book.ended(request, end, late=late)
         if wrote:
             self.settle(wrote, end)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -76,6 +76,7 @@
 class Daemon:
     """One daemon: its process, ports and wires.
 
+    `log_size` is that of its log when its process was started.
     `troubled_until` is the monotonic clock's time until which it may not be in touch,
     `ended_by_us` whether its process ended, or ends, since it was told to.
     """
@@ -91,6 +92,7 @@
     paused: bool = False
     troubled_until: float = 0.0
     ended_by_us: bool = False
+    log_size: int = 0
     exits: list[int] = field(default_factory=list)
 
     def wires(self):
@@ -158,6 +160,7 @@
             "advertised_links": daemon.link.address,
             "all_watch_up_to": 0 if len(self.daemons) > 4 else 12,
         }
+        daemon.log_size = self.size_of_log(daemon)
         daemon.process = await start_process(self.folder, settings)
         daemon.ended_by_us = daemon.paused = False
 
@@ -177,7 +180,16 @@
         self.resume(daemon)
         daemon.process.send_signal(number)
         code = await daemon.process.wait()
-        daemon.exits.append(code)
+        # The interpreter itself knows no order to stop: until the program's first line
+        # a process that is told to ends by the signal, having served nobody.
+        silent = self.size_of_log(daemon) == daemon.log_size
+        if not (silent and code == -signal.SIGTERM):
+            daemon.exits.append(code)
+
+    def size_of_log(self, daemon):
+        """Bytes of a daemon's log so far."""
+        path = self.folder / f"{daemon.name}.log"
+        return path.stat().st_size if path.exists() else 0
 
     def pause(self, daemon):
         """Stop a process where it is."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,6 +140,7 @@
     assert made.broken == []
     made.ended("a-1", "ABORTED")
     assert words(made) == ["ENDED"]
+    made.ended("a-1", "ABORTED", late=True)
     made.leaving["u1"] = time.monotonic()
     made.ended("a-1", "ABORTED")
     assert words(made) == ["ENDED"]
