--- a/Makefile
+++ b/Makefile
@@ -47,8 +47,10 @@
 MINUTES ?= 1
 RUNS ?= 1
 DAEMONS ?= 9
+# What an upstream takes; with 9 three daemons own the group. PLANNED=1: restarts alone.
+CONNECTIONS ?= 40
 soak: setup
-	$(PY) -m soak $(SEED:%=--seed %) --minutes $(MINUTES) --runs $(RUNS) --daemons $(DAEMONS)
+	$(PY) -m soak $(SEED:%=--seed %) --minutes $(MINUTES) --runs $(RUNS) --daemons $(DAEMONS) --connections $(CONNECTIONS) $(if $(PLANNED),--planned)
 
 # BENCH is the users' bench program, PAGES the folder of their pages, SITES names some of
 # bench/sites.json, all if it is left out.
