A later statement of a transaction is never taken for new work

Cause, on reading: an owner that leaves would decline a statement of a transaction that it has ended and forgotten as if it were new: busy, where rolled back is meant. The test fails without the change.

--- a/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -165,7 +165,7 @@
         """Why a statement is left to another daemon; empty if it is run here."""
         if group is None:
             return "the group is not known here"
-        if ask.transaction in self.held:
+        if ask.transaction and not ask.first:
             return ""
         if ask.if_led and not group.watch.leader:
             return "no primary is proven here"
--- a/tests/sessions/test_leaving.py
+++ b/tests/sessions/test_leaving.py
@@ -408,3 +408,24 @@
         assert [item for item in told if item[1] is not None] == []
 
     run(main())
+
+
+def test_a_statement_of_a_transaction_that_an_owner_has_ended_is_told_so():
+    """Symptom: COMMIT of a transaction that is gone is answered as busy.
+
+    Sequence: an owner that leaves has ended a transaction and forgotten it; its next
+    statement comes. Cause: what is not known was taken for new work, and declined.
+    """
+
+    async def main():
+        rig = await make_rig()
+        caller = await open_transaction(rig)
+        owner = rig.links.proxies[owner_of(caller)]
+        start_drain(owner)
+        await asyncio.sleep(NOTICED)
+        for desk in owner.desks:
+            desk.held.clear()
+        assert (await caller.send("COMMIT")).refusal is Refusal.ABORTED
+        assert rig.group.acknowledged == []
+
+    run(main())
