A session's values change once none of its reads runs any more

Trace: the read was asked at u1 and, after the hedge, answered by u3 after 323 ms; the session's SET came at once, was acknowledged 0.3 s later with the connection to u1 closed, and u1 ran the read after that. Known as a hole until now (docs/not-proved.md); owners closed such connections at once.

Ruled out: the new way by owners and drains; d0 owned the group and was not draining.

Change: SET waits for such reads up to a second, and is refused as busy if one still runs; an owner tells with its answer for how long one may, and lets it end. What remains: an upstream that stands still for longer than a read's own time.

--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -32,7 +32,8 @@
 
     `own_floor` is the position of the session's last commit. `last_active` is when
     the last statement ended, `last_request` its id. `abort_untold`: we ended the
-    transaction and the caller has not heard of it.
+    transaction and the caller has not heard of it. `leftovers` are reads that still run
+    after their reply, here; until `unfinished_until` some may at an owner.
     """
 
     number: int
@@ -49,6 +50,7 @@
     abort_untold: bool = False
     running: bool = False
     leftovers: set = field(default_factory=set)
+    unfinished_until: float = 0.0
 
     async def run(self, request, statement):
         """Run one statement; returns the whole reply for the caller."""
@@ -82,7 +84,8 @@
             case StatementKind.ROLLBACK:
                 return await self.roll_back()
             case StatementKind.SET:
-                await self.end_leftovers()
+                if not await self.reads_ended():
+                    return self.refuse(Refusal.BUSY, "not run, a read still runs")
                 self.values[statement.name] = statement.argument
                 if self.tx is not None:
                     self.tx.values_set = True
@@ -97,19 +100,23 @@
                 return self.refuse(Refusal.MALFORMED, "not a caller's statement")
         return Reply(state=self.state)
 
-    async def end_leftovers(self):
-        """End reads of this session that still run somewhere after their reply.
+    async def reads_ended(self):
+        """Wait for reads of this session that still run somewhere after their reply.
 
-        What goes wrong without it: a slow upstream runs one after the session's
-        values have changed, with the old ones.
+        Tell whether none does any more. What goes wrong without it: a slow upstream
+        runs one after the session's values have changed, with the old ones; also one
+        whose connection was closed, for it had received it before.
         """
+        clock, patience = self.proxy.clock, self.proxy.tuning.leftover_wait
+        until = clock() + patience
         running = {task for task in self.leftovers if not task.done()}
+        if running:
+            _, running = await asyncio.wait(running, timeout=patience)
+        if running or self.unfinished_until > until:
+            return False
+        await asyncio.sleep(max(0.0, self.unfinished_until - clock()))
         self.leftovers.clear()
-        if not running:
-            return
-        _, late = await asyncio.wait(running, timeout=self.proxy.tuning.leftover_wait)
-        for task in late:
-            task.cancel()
+        return True
 
     def begin(self, statement, arrived):
         """Begin a transaction under the route in force now."""
@@ -193,6 +200,8 @@
                 self.own_floor = later(self.own_floor, reply.position)
             return self.outside(reply)
         reply = await access.read(job)
+        there = self.proxy.clock() + job.unfinished_there
+        self.unfinished_until = max(self.unfinished_until, there)
         still_running = self.leftovers | job.leftovers
         self.leftovers = {task for task in still_running if not task.done()}
         return self.outside(reply)
--- a/packages/sessions/gypsum_sessions/daemons/asks.py
+++ b/packages/sessions/gypsum_sessions/daemons/asks.py
@@ -43,7 +43,8 @@
 class Answer(Struct, frozen=True, kw_only=True, array_like=True, tag="answer"):
     """The whole reply to one question.
 
-    `role` tells whether the leader or a replica ran it. `unable`: nothing ran, and the
+    `role` tells whether the leader or a replica ran it. For `unfinished` seconds it may
+    still run at another upstream that was asked as well. `unable`: nothing ran, and the
     fault is this owner's, so that another one may well be able.
     """
 
@@ -54,6 +55,7 @@
     role: str = ""
     floor: Position | None = None
     floor_age: float = 0.0
+    unfinished: float = 0.0
     unable: bool = False
 
 
--- a/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -146,9 +146,6 @@
             reply = await run_write(group, job)
         else:
             reply = await run_read(group, job)
-            # The other daemon cannot wait for them before the session's values change.
-            for task in job.leftovers:
-                task.cancel()
         self.answer(
             Answer(
                 call=ask.call,
@@ -158,6 +155,7 @@
                 role=str(group.role_of(job.served_by) or ""),
                 floor=job.floor,
                 floor_age=job.floor_age,
+                unfinished=job.unfinished(self.proxy.clock),
             )
         )
 
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -88,7 +88,9 @@
                 )
             except PeerLost as exc:
                 self.note_lost(job, name, exc)
-                job.may_have_run = job.may_have_run or exc.sent
+                if exc.sent:
+                    job.may_have_run = True
+                    job.unfinished_there = job.left(self.around.clock)
                 if exc.sent and not repeats:
                     return in_doubt(exc)
                 continue
@@ -261,6 +263,7 @@
     job.served_by = answer.served_by
     job.role = answer.role
     job.floor, job.floor_age = answer.floor, answer.floor_age
+    job.unfinished_there = max(job.unfinished_there, answer.unfinished)
     return answer.reply
 
 
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -26,7 +26,8 @@
     `over` says that it was answered: attempts that still wait for a turn give up.
     `tried` are the upstreams asked, in order, `served_by` the one that answered, `role`
     whether it led then. `owner` is the daemon that it was sent to, if not this one;
-    `may_have_run` says that one was asked that has not answered.
+    `may_have_run` says that one was asked that has not answered, `unfinished_there`
+    for how many seconds the statement may still run from there after its answer.
     """
 
     request: str
@@ -46,6 +47,7 @@
     over: bool = False
     owner: str = ""
     may_have_run: bool = False
+    unfinished_there: float = 0.0
 
     def claim(self):
         """What decides when it comes: its answer is due by its route's target."""
@@ -56,6 +58,11 @@
             deadline=self.deadline,
         )
 
+    def unfinished(self, clock):
+        """Seconds for which attempts of this daemon may still run, 0 if none does."""
+        running = any(not task.done() for task in self.leftovers)
+        return self.left(clock) if running else 0.0
+
     def left(self, clock):
         """Seconds until the deadline, not below zero."""
         return max(0.0, self.deadline - clock())
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -73,8 +73,8 @@
     # ... but not before the tail of ordinary work has passed.
     hedge_floor: float = 0.25
     # A read that is not needed any more is waited for this long before the session's
-    # values change; then its connection is closed.
-    leftover_wait: float = 0.3
+    # values change: most routes give a statement a second. They do not change then.
+    leftover_wait: float = 1.0
     # Floors older than the longest allowed age are of no use to anyone.
     floor_keep: float = 30.0
     # Share of a request's allowed time that it may wait for a leader: the rest is
