Callers leave an owner that is slow, or whose queue refuses them

Change: whoever asks notes how long an owner's answers take in each group; one of the next two owners comes before the first if that takes three times as long and 0.1 s more. What an owner's queue leaves no time for is handed on to the next, twice at most.

--- a/packages/policy/gypsum_policy/ownership.py
+++ b/packages/policy/gypsum_policy/ownership.py
@@ -13,6 +13,8 @@
 
 from xxhash import xxh64_intdigest
 
+from gypsum_policy.pace import TYPICAL, lags
+
 # Up to this many daemons each hold connections of their own: a statement saves the hop
 # to an owner, and a daemon that fails harms its own callers only.
 FEW_DAEMONS = 12
@@ -27,6 +29,9 @@
 # Owners that may hand a statement on to the next, before one has to try: each costs two
 # milliseconds, and when all have just started all would.
 MOST_UNABLE = 2
+# Owners that are compared by how fast they answer: one that is not known is asked, which
+# takes a link; when all are slow every daemon would open one to each of them.
+LOOKED_AT = 3
 
 
 def owner_count(daemons, max_connections):
@@ -58,13 +63,15 @@
     """An owner of a group as one daemon sees it.
 
     `place` is its place in the group's order of daemons, `avoided` that it did not
-    answer a moment ago or said that it leaves.
+    answer a moment ago or said that it leaves, `expected` the seconds that its answers
+    take, None if that is not known.
     """
 
     name: str
     place: int
     far: bool
     avoided: bool
+    expected: float | None = None
 
 
 def is_last_resort(*, asked_all, leaves, unable):
@@ -82,6 +89,7 @@
     Owners come before the daemons that would own if they failed, near ones before far
     ones, and each daemon starts at another of equal ones, so that the owners of a
     failure domain share its callers. Those that did not answer are the last resort.
+    One of the next comes before the first if that lags behind it.
     """
 
     def rank(view):
@@ -89,4 +97,15 @@
         stands_in = view.place >= owners
         return (view.avoided, stands_in, view.name != daemon, view.far, turn)
 
-    return [view.name for view in sorted(views, key=rank)]
+    order = sorted(views, key=rank)
+    best = fastest(order[:LOOKED_AT], owners)
+    if best is not None and lags(order[0].expected, best.expected):
+        order.remove(best)
+        order.insert(0, best)
+    return [view.name for view in order]
+
+
+def fastest(views, owners):
+    """The owner whose answers take least; one that nobody knows counts as usual."""
+    able = [view for view in views if not view.avoided and view.place < owners]
+    return min(able, key=lambda view: view.expected or TYPICAL, default=None)
--- a/packages/sessions/gypsum_sessions/daemons/asks.py
+++ b/packages/sessions/gypsum_sessions/daemons/asks.py
@@ -44,8 +44,9 @@
     """The whole reply to one question.
 
     `role` tells whether the leader or a replica ran it. For `unfinished` seconds it may
-    still run at another upstream that was asked as well. `unable`: nothing ran, and the
-    fault is this owner's, so that another one may well be able.
+    still run at another upstream that was asked as well. `queue` is the time in seconds
+    that those before it would have taken, where that was too long. `unable`: nothing
+    ran, and the fault is this owner's, so that another one may well be able.
     """
 
     call: int
@@ -56,6 +57,7 @@
     floor: Position | None = None
     floor_age: float = 0.0
     unfinished: float = 0.0
+    queue: float = 0.0
     unable: bool = False
 
 
--- a/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerdesk.py
@@ -156,6 +156,8 @@
                 floor=job.floor,
                 floor_age=job.floor_age,
                 unfinished=job.unfinished(self.proxy.clock),
+                queue=job.queue,
+                unable=hands_on(ask, job, reply),
             )
         )
 
@@ -261,6 +263,16 @@
                 self.spawn(held.transaction.close())
 
 
+def hands_on(ask, job, reply):
+    """Tell whether another owner should try what this one's queue leaves no time for.
+
+    What goes wrong without it: callers are refused by the owner that is asked first, on
+    a slow machine perhaps, while others could serve them.
+    """
+    inside = bool(ask.transaction) and not ask.first
+    return not reply.ok and bool(job.queue) and not ask.last_resort and not inside
+
+
 def job_of(ask, proxy):
     """The job of a statement; it counts as arrived now, so no floor is too old."""
     now = proxy.clock()
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from gypsum_policy.ownership import OwnerView, owners_to_ask
+from gypsum_policy.pace import Pace
 from gypsum_sessions.daemons.asks import (
     Answer,
     Current,
@@ -146,6 +147,28 @@
         """The error of a question on a link that is gone."""
         return PeerLost(self.gone, step=step, peer=self.peer, sent=sent)
 
+    async def ask_timed(self, make, pace, *, timeout):
+        """Ask, and note how long the answer took; raises PeerLost.
+
+        An answer that declines the work counts as long as its sender says that it would
+        have taken; without one the time that was waited counts.
+        """
+        began, token = self.clock(), object()
+        pace.asked(token, began)
+        try:
+            answer = await self.ask(make, timeout=timeout)
+        except PeerLost as exc:
+            if exc.sent:
+                pace.note(self.clock() - began, self.clock())
+            raise
+        finally:
+            pace.over(token)
+        if answer.reply.ok:
+            pace.note(self.clock() - began, self.clock())
+        elif answer.queue:
+            pace.note(answer.queue, self.clock())
+        return answer
+
     async def try_out(self):
         """Make sure that the other end is there; raises PeerLost.
 
@@ -225,6 +248,8 @@
         self.links = {}
         self.dials = {}
         self.avoidance = {}
+        # How fast each daemon answers in each group.
+        self.paces = {}
 
     def avoided(self, name):
         """Tell whether others are asked before a daemon."""
@@ -247,7 +272,16 @@
         """
         return not self.leaves(name) or self.clock() < self.links[name].opens_until
 
-    def in_turn(self, names, owners):
+    def expected(self, name, group):
+        """Seconds that a daemon's answers take in a group; None if not known."""
+        pace = self.paces.get((name, group))
+        return pace.expected(self.clock()) if pace is not None else None
+
+    def pace(self, name, group):
+        """How fast a daemon answers in a group; it outlives the link."""
+        return self.paces.setdefault((name, group), Pace())
+
+    def in_turn(self, names, owners, group=""):
         """Other daemons of a group's order in the turn in which we ask them.
 
         The first `owners` of the names own; see `owners_to_ask`.
@@ -259,6 +293,7 @@
                 place=place,
                 far=self.daemons.get(name).domain != own.domain,
                 avoided=self.avoided(name),
+                expected=self.expected(name, group),
             )
             for place, name in enumerate(names)
             if name != own.id
@@ -328,6 +363,7 @@
 
     def forget(self, name):
         """A daemon's entry is gone."""
+        self.paces = {key: pace for key, pace in self.paces.items() if key[0] != name}
         self.avoidance.pop(name, None)
         link = self.links.pop(name, None)
         if link is not None:
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -111,13 +111,13 @@
         daemons = self.around.daemons
         count = daemons.owner_count(self.spec)
         names = daemons.order(self.spec.name, count * STAND_INS)
-        return self.peers.in_turn(names, count)
+        return self.peers.in_turn(names, count, self.spec.name)
 
     async def ask(self, link, job, **how):
         """Ask one owner; raises PeerLost. `how` are fields of Ask."""
         job.owner = link.peer
         left = job.left(self.around.clock)
-        return await link.ask(
+        return await link.ask_timed(
             lambda call: Ask(
                 call=call,
                 request=job.request,
@@ -130,6 +130,7 @@
                 if_led=bool(self.helpers),
                 **how,
             ),
+            self.peers.pace(link.peer, self.spec.name),
             timeout=left + ANSWER_MARGIN,
         )
 
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -28,6 +28,7 @@
     whether it led then. `owner` is the daemon that it was sent to, if not this one;
     `may_have_run` says that one was asked that has not answered, `unfinished_there`
     for how many seconds the statement may still run from there after its answer.
+    `queue` is the time in seconds of the queue for which it was refused.
     """
 
     request: str
@@ -48,6 +49,7 @@
     owner: str = ""
     may_have_run: bool = False
     unfinished_there: float = 0.0
+    queue: float = 0.0
 
     def claim(self):
         """What decides when it comes: its answer is due by its route's target."""
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -262,6 +262,7 @@
 
 def overloaded(job, wait):
     """The refusal of work that cannot be answered in time; it has not run."""
+    job.queue = wait
     return Reply(
         refusal=Refusal.BUSY,
         detail=f"not run, the queue takes {wait * 1000:.0f} ms",
--- a/tests/sessions/fakelinks.py
+++ b/tests/sessions/fakelinks.py
@@ -11,6 +11,7 @@
 
     `rate` is how many bytes a second each daemon can send, 0 for any number.
     Between the two of each pair in `cut` everything is lost, and nobody is told.
+    `slow` daemons take so many seconds for each message that they read.
     """
 
     def __init__(self, *, loop):
@@ -19,6 +20,7 @@
         self.frozen = set()
         self.dead = set()
         self.cut = set()
+        self.slow = {}
         self.open = []
         self.rate = 0
         self.busy_until = {}
@@ -118,7 +120,8 @@
             self.unsent += len(data)
             self.links.loop.call_later(delay, self.sent, len(data))
         if not self.links.apart(self.at, self.to) or self.to in self.links.frozen:
-            self.links.loop.call_later(delay + WAY, self.other.arrive, data)
+            delay += self.links.slow.get(self.to, 0.0) + WAY
+            self.links.loop.call_later(delay, self.other.arrive, data)
         return True
 
     def sent(self, size):
