--- a/packages/policy/gypsum_policy/ownership.py
+++ b/packages/policy/gypsum_policy/ownership.py
@@ -29,8 +29,8 @@
 # Owners that may hand a statement on to the next, before one has to try: each costs two
 # milliseconds, and when all have just started all would.
 MOST_UNABLE = 2
-# Owners that are compared by how fast they answer: one that is not known is asked, which
-# takes a link; when all are slow every daemon would open one to each of them.
+# Owners that are compared by how fast they answer: one that is not known is asked,
+# which takes a link; when all are slow every daemon would open one to each of them.
 LOOKED_AT = 3
 
 
