New fields of messages between daemons come last

Processes of two versions talked to each other; an answer's new fields stood before an old one. A fleet that is rolled to a new version would have shown the same.

Change: the new fields are the last ones; a test holds the places of all fields, and that a message of the first version, or a later one, is understood.

--- a/packages/sessions/gypsum_sessions/daemons/asks.py
+++ b/packages/sessions/gypsum_sessions/daemons/asks.py
@@ -1,4 +1,9 @@
-"""Messages between daemons, as CBOR: statements to owners, news of the store."""
+"""Messages between daemons, as CBOR: statements to owners, news of the store.
+
+Fields go by their place. A new one comes last and has a default, for daemons of two
+versions talk to each other while a fleet is rolled; one in the middle closes the links
+between them, and what was on its way is in doubt.
+"""
 
 import cbor2
 from msgspec import Struct, ValidationError, convert, to_builtins
@@ -56,9 +61,9 @@
     role: str = ""
     floor: Position | None = None
     floor_age: float = 0.0
+    unable: bool = False
     unfinished: float = 0.0
     queue: float = 0.0
-    unable: bool = False
 
 
 class EndTransaction(Struct, frozen=True, kw_only=True, array_like=True, tag="end"):
--- /dev/null
+++ b/tests/sessions/test_asks.py
@@ -0,0 +1,61 @@
+"""Messages between daemons of two versions."""
+
+import cbor2
+import pytest
+
+from gypsum_core.records import Position
+from gypsum_sessions.daemons import asks
+from gypsum_sessions.daemons.asks import Answer, decode, encode
+from gypsum_sessions.replies import Reply
+
+# The fields of each message in their order. A field may only come behind these.
+PLACES = {
+    "Ask": (
+        "call request statement route left values prepared own_floor transaction "
+        "first opens_writing values_set if_led last_resort"
+    ),
+    "Answer": (
+        "call reply tried served_by role floor floor_age unable unfinished queue"
+    ),
+    "EndTransaction": "transaction",
+    "Leaving": "opens_for",
+    "TakeUp": "group",
+    "LeaderQuestion": "call group",
+    "LeaderAnswer": "call proof_age",
+    "Follow": "revisions",
+    "Unfollow": "",
+    "News": "feed revision changed since removed whole",
+    "Current": "feeds watches",
+    "Fetch": "feed",
+    "Piece": "feed revision number total data",
+}
+# How many of them daemons of the first version send.
+FIRST_VERSION = {"Ask": 13, "Answer": 8, "Leaving": 0, "Current": 1}
+
+
+@pytest.mark.parametrize("name", PLACES)
+def test_fields_keep_their_places(name):
+    """Symptom: `no message: Expected `float`, got `bool` - at `$[8]``, and what was on
+    its way between two daemons is in doubt.
+
+    Sequence: a fleet is rolled to a new version. Cause: a field was put between others.
+    """
+    message = getattr(asks, name)
+    assert list(message.__struct_fields__) == PLACES[name].split()
+
+
+@pytest.mark.parametrize("name", FIRST_VERSION)
+def test_fields_that_came_later_may_be_missing(name):
+    message = getattr(asks, name)
+    later = PLACES[name].split()[FIRST_VERSION[name] :]
+    assert later
+    assert set(later) <= set(message.__struct_fields__)
+    assert len(message.__struct_defaults__) >= len(later)
+
+
+def test_messages_of_another_version_are_understood():
+    answer = Answer(call=7, reply=Reply(), floor=Position(term=1, index=2), unable=True)
+    items = cbor2.loads(encode(answer))
+    older = items[: 1 + FIRST_VERSION["Answer"]]
+    assert decode(cbor2.dumps(older)) == answer
+    assert decode(cbor2.dumps([*items, "of a later version"])) == answer
