--- a/tests/sessions/test_leaving.py
+++ b/tests/sessions/test_leaving.py
@@ -8,29 +8,30 @@
 from gypsum_sessions.callers.drain import drain
 from gypsum_sessions.replies import Refusal
 from tests.sessions.connected import connect
-from tests.sessions.rig import Rig
+from tests.sessions.owners import (
+    first_owner,
+    open_transaction,
+    owner_of,
+    owners_rig,
+)
 from tests.sessions.vclock import run
 
 GRACE = 6.0
 # After this a daemon that stops is known to all that look, seconds.
 NOTICED = 2.5
-# What one upstream takes: too few for five daemons, so that three own the group.
-FEW = 9
 
 
-async def make_rig(daemons=5, max_connections=FEW):
-    """Daemons of which some own the group and know who leads it."""
-    rig = Rig(daemons=daemons, max_connections=max_connections)
+async def make_rig(**fleet):
+    """Daemons of which some own the group, with all that they do all the time."""
+    rig = await owners_rig(**fleet)
     for proxy in rig.proxies:
         proxy.keep_running(proxy.tend)
-    await rig.settle()
     return rig
 
 
-def first_owner(rig):
-    """The owner that the first other daemon asks first."""
-    name = rig.others()[0].access("db").owners()[0]
-    return rig.links.proxies[name]
+def pair(rig):
+    """A daemon that owns nothing, and the owner that it asks first."""
+    return rig.others()[0], rig.links.proxies[first_owner(rig)]
 
 
 def start_drain(proxy):
@@ -49,19 +50,6 @@
     return fresh
 
 
-def owner_of(caller):
-    """The name of the daemon that a caller's transaction is open at."""
-    return caller.session.tx.link.peer
-
-
-async def open_transaction(rig):
-    """A caller with a transaction open by way of the first owner."""
-    caller = rig.caller("own", rig.others()[0])
-    await caller.send("BEGIN")
-    assert (await caller.send("WRITE a 1")).ok
-    return caller
-
-
 def test_a_link_opened_after_a_drain_began_hears_of_it():
     """Symptom: transactions are opened at a daemon that stops, and rolled back.
 
@@ -71,7 +59,7 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         draining = start_drain(owner)
         await asyncio.sleep(0.1)
         await other.peers.link(owner.name, 0.4)
@@ -92,7 +80,7 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         link = await other.peers.link(owner.name, 0.4)
         draining = start_drain(owner)
         await asyncio.sleep(0.1)
@@ -108,7 +96,7 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         link = await other.peers.link(owner.name, 0.4)
         draining = start_drain(owner)
         await asyncio.sleep(0.1)
@@ -132,13 +120,13 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         link = await other.peers.link(owner.name, 0.4)
         draining = start_drain(owner)
         await asyncio.sleep(NOTICED)
         link.leaving = False
-        caller = await open_transaction(rig)
-        assert owner_of(caller) != owner.name
+        caller, name = await open_transaction(rig)
+        assert name != owner.name
         await asyncio.sleep(1.0)
         assert (await caller.send("COMMIT")).ok
         await draining
@@ -180,7 +168,7 @@
 def test_a_single_statement_that_comes_after_the_notice_runs_elsewhere():
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         link = await other.peers.link(owner.name, 0.4)
         draining = start_drain(owner)
         await asyncio.sleep(NOTICED)
@@ -201,7 +189,7 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         await other.peers.link(owner.name, 0.4)
         start_drain(owner)
         for proxy in rig.proxies:
@@ -216,8 +204,8 @@
 def test_an_open_transaction_at_an_owner_that_leaves_goes_on_to_its_commit():
     async def main():
         rig = await make_rig()
-        caller = await open_transaction(rig)
-        draining = start_drain(rig.links.proxies[owner_of(caller)])
+        caller, owner = await open_transaction(rig)
+        draining = start_drain(rig.links.proxies[owner])
         await asyncio.sleep(GRACE / 2 - 0.1)
         assert (await caller.send("READ a")).ok
         assert (await caller.send("COMMIT")).ok
@@ -235,8 +223,8 @@
 
     async def main():
         rig = await make_rig()
-        caller = await open_transaction(rig)
-        draining = start_drain(rig.links.proxies[owner_of(caller)])
+        caller, owner = await open_transaction(rig)
+        draining = start_drain(rig.links.proxies[owner])
         await asyncio.sleep(GRACE / 3)
         assert (await caller.send("READ a")).ok
         await asyncio.sleep(GRACE / 3)
@@ -302,7 +290,7 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = rig.others()[0], first_owner(rig)
+        other, owner = pair(rig)
         fresh = restart(rig, owner)
         for member in rig.group.members:
             rig.cut(fresh, member.id)
@@ -419,8 +407,8 @@
 
     async def main():
         rig = await make_rig()
-        caller = await open_transaction(rig)
-        owner = rig.links.proxies[owner_of(caller)]
+        caller, name = await open_transaction(rig)
+        owner = rig.links.proxies[name]
         start_drain(owner)
         await asyncio.sleep(NOTICED)
         for desk in owner.desks:
--- a/tests/sessions/test_remote.py
+++ b/tests/sessions/test_remote.py
@@ -7,40 +7,23 @@
 from gypsum_sessions.daemons.asks import Ask, MessageError, decode, encode
 from gypsum_sessions.replies import Refusal, SessionState
 from gypsum_sessions.statements import Statement, StatementKind
+from tests.sessions.owners import (
+    first_owner,
+    open_transaction,
+    owner_of,
+    owners_rig,
+)
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
-DAEMONS = 5
-# What one upstream takes: too few for five daemons, so that three own the group.
-FEW = 9
-
 
 async def make_rig():
     """Three owners and two others, which know who leads."""
-    rig = Rig(daemons=DAEMONS, max_connections=FEW)
-    await rig.settle()
+    rig = await owners_rig()
     assert (len(rig.owners()), len(rig.others())) == (3, 2)
     return rig
 
 
-def owner_of(caller):
-    """The name of the daemon that a caller's transaction is open at."""
-    return caller.session.tx.link.peer
-
-
-async def open_transaction(rig):
-    """A caller with a write in a transaction by way of an owner, and that owner."""
-    caller = rig.caller("own", rig.others()[0])
-    await caller.send("BEGIN")
-    assert (await caller.send("WRITE a 1")).ok
-    return caller, owner_of(caller)
-
-
-def first_owner(rig):
-    """The name of the owner that the first other daemon asks first."""
-    return rig.others()[0].access("db").owners()[0]
-
-
 def test_others_read_and_write_without_connections_of_their_own():
     async def main():
         rig = await make_rig()
--- a/tests/sessions/test_slow_owner.py
+++ b/tests/sessions/test_slow_owner.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from tests.sessions.rig import Rig
+from tests.sessions.owners import owners_rig
 from tests.sessions.vclock import run
 
 SLOW = 0.4
@@ -15,13 +15,6 @@
 QUICK = 0.1
 
 
-async def make_rig():
-    """Three owners and two others, which know who leads."""
-    rig = Rig(daemons=5, max_connections=9)
-    await rig.settle()
-    return rig
-
-
 async def read_on(rig, proxy, seconds, told):
     """Reads of callers that do not wait for each other; when each began, and took."""
     until, running = rig.loop.time() + seconds, []
@@ -48,7 +41,7 @@
     """
 
     async def main():
-        rig, told = await make_rig(), []
+        rig, told = await owners_rig(), []
         others = rig.others()
         await asyncio.gather(*(read_on(rig, proxy, 1.0, []) for proxy in others))
         first = {other.access("db").owners()[0] for other in others}
@@ -64,7 +57,7 @@
 
 def test_an_owner_that_is_well_again_is_asked_again():
     async def main():
-        rig = await make_rig()
+        rig = await owners_rig()
         other = rig.others()[0]
         first = other.access("db").owners()[0]
         rig.links.slow = {first: SLOW}
@@ -85,7 +78,7 @@
     """
 
     async def main():
-        rig = await make_rig()
+        rig = await owners_rig()
         other = rig.others()[0]
         owner = rig.links.proxies[other.access("db").owners()[0]]
         for item in owner.groups["db"].upstreams.values():
