--- a/tests/sessions/test_feeds_behind.py
+++ b/tests/sessions/test_feeds_behind.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from gypsum_policy.leaving import plan_for
+from gypsum_sessions.callers.drain import drain
 from gypsum_sessions.daemons import following
 from gypsum_sessions.daemons.following import Following
 from gypsum_sessions.daemons.relay import Relay
@@ -309,3 +311,33 @@
         for seed in range(12):
             for daemons in (15, 6):
                 run(random_run(seed, daemons))
+
+
+def test_followers_of_a_watcher_that_leaves_have_another_before_it_ends():
+    """Symptom: daemons serve by an old configuration while others are rolled.
+
+    Sequence: a watcher is told to stop, and a change is made a moment later, and one
+    more when it is gone. Cause: its followers stayed until its links ended, or opened
+    new ones to it.
+    """
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        leaving = next(p for p in rig.rig.proxies if p.daemons.watches())
+        draining = asyncio.create_task(drain(leaving, plan_for(6.0), lambda: None))
+        await asyncio.sleep(0.5)
+        followed = {
+            proxy.following.link.peer
+            for proxy in rig.rig.proxies
+            if proxy.following.link is not None
+        }
+        assert followed and leaving.name not in followed
+        rig.store.put("config", "main", {"version": 2})
+        await rig.in_force(0.5)
+        await draining
+        rig.links.kill(leaving.name)
+        rig.store.put("config", "main", {"version": 3})
+        await rig.in_force(0.5)
+
+    run(main())
