--- a/tests/sessions/test_leaving.py
+++ b/tests/sessions/test_leaving.py
@@ -50,6 +50,19 @@
     return fresh
 
 
+async def leave_unheard(rig):
+    """An owner that leaves, whose word of it is late at the daemon that asks it.
+
+    Returns that daemon, the owner, and the task that ends with the owner's process.
+    """
+    other, owner = pair(rig)
+    link = await other.peers.link(owner.name, 0.4)
+    draining = start_drain(owner)
+    await asyncio.sleep(NOTICED)
+    link.leaving = False
+    return other, owner, draining
+
+
 def test_a_link_opened_after_a_drain_began_hears_of_it():
     """Symptom: transactions are opened at a daemon that stops, and rolled back.
 
@@ -120,11 +133,7 @@
 
     async def main():
         rig = await make_rig()
-        other, owner = pair(rig)
-        link = await other.peers.link(owner.name, 0.4)
-        draining = start_drain(owner)
-        await asyncio.sleep(NOTICED)
-        link.leaving = False
+        other, owner, draining = await leave_unheard(rig)
         caller, name = await open_transaction(rig)
         assert name != owner.name
         await asyncio.sleep(1.0)
@@ -168,11 +177,7 @@
 def test_a_single_statement_that_comes_after_the_notice_runs_elsewhere():
     async def main():
         rig = await make_rig()
-        other, owner = pair(rig)
-        link = await other.peers.link(owner.name, 0.4)
-        draining = start_drain(owner)
-        await asyncio.sleep(NOTICED)
-        link.leaving = False
+        other, owner, draining = await leave_unheard(rig)
         assert (await rig.caller("own", other).send("WRITE a 1")).ok
         assert not any(desk.tasks for desk in owner.desks)
         await draining
