Observability: the era of the store's history, and daemons ahead of their watcher

Now 'store: new era', 'unexpected era', gypsum_store_era, and 'relay: ahead of watcher' after a second. No decision changes.

--- a/packages/sessions/gypsum_sessions/daemons/following.py
+++ b/packages/sessions/gypsum_sessions/daemons/following.py
@@ -45,12 +45,19 @@
     lost: bool = False
     behind_since: float | None = None
     behind_told: bool = False
+    ahead_since: float | None = None
+    ahead_told: bool = False
 
     @property
     def behind(self):
         """Tell whether the watcher has changes that this daemon lacks."""
         return self.state is not None and not is_current(self.known, self.state.since)
 
+    @property
+    def ahead(self):
+        """Tell whether this daemon knows a later revision than the watcher."""
+        return self.state is not None and self.known > self.state.revision
+
     def forget_watcher(self):
         """Nothing that a watcher has sent counts any more."""
         self.state = None
@@ -323,6 +330,7 @@
         """
         now = self.clock()
         for name, feed in self.feeds.items():
+            self.look_ahead(name, feed)
             if not feed.behind:
                 feed.behind_since = None
                 if feed.behind_told:
@@ -337,6 +345,18 @@
                     PART, "behind", seconds=round(seconds, 2), **progress(name, feed)
                 )
 
+    def look_ahead(self, name, feed):
+        """Log a feed that is known up to a later revision than the watcher's."""
+        now = self.clock()
+        if not feed.ahead:
+            feed.ahead_since = None
+            feed.ahead_told = False
+            return
+        feed.ahead_since = now if feed.ahead_since is None else feed.ahead_since
+        if now - feed.ahead_since >= BEHIND_TOLD and not feed.ahead_told:
+            feed.ahead_told = True
+            self.log(PART, "ahead of watcher", **progress(name, feed))
+
 
 def usable(news, known):
     """Tell whether news can be taken in by who knows their feed up to a revision."""
--- a/packages/sessions/gypsum_sessions/measures.py
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -64,6 +64,11 @@
             "Calls to the store, by step and kind of object.",
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "gypsum_store_era",
+            "Era of the store's history; it rises when the store returns from a copy.",
+            registry=self.registry,
+        )
         self.drain_ended = Counter(
             "gypsum_drain_ended_transactions_total",
             "Transactions that were rolled back because this daemon was told to stop.",
@@ -132,6 +137,10 @@
             self.usage.set({"workspace": name, "what": "granted"}, total.granted)
             self.usage.set({"workspace": name, "what": "refused"}, total.refused)
 
+    def take_era(self, era):
+        """Refresh the era of the store's history."""
+        self.store_era.set({}, era)
+
     def take_calls(self, calls):
         """Refresh the calls to the store: numbers by step and kind."""
         for (step, kind), number in calls.items():
--- /dev/null
+++ b/tests/platform/test_eras.py
@@ -0,0 +1,44 @@
+"""The era of the store's history, as answers name it."""
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from gypsum_platform.eras import ERA_HEADER, EraTracker
+
+
+def answer(text=None):
+    """Headers of an answer that names an era, or none."""
+    return HTTPHeaders({} if text is None else {ERA_HEADER: text})
+
+
+def tracker():
+    """A tracker and what it reports."""
+    reports = []
+
+    def report(event, **fields):
+        reports.append((event, fields))
+
+    return EraTracker(report=report), reports
+
+
+def test_a_rise_is_reported_and_the_first_era_is_not():
+    eras, reports = tracker()
+    assert [eras.take(answer(text)) for text in ("3", "3", "4")] == [3, 3, 4]
+    assert reports == [("new era", {"era": 4, "before": 3})]
+    assert eras.current == 4
+
+
+@pytest.mark.parametrize("text", [None, "", "x", "-1", "1.5", "\u0663", "2"])
+def test_an_unusable_or_earlier_era_changes_nothing_and_is_reported_once(text):
+    eras, reports = tracker()
+    eras.take(answer("3"))
+    for _ in range(3):
+        eras.take(answer(text))
+    assert eras.current == 3
+    assert reports == [("unexpected era", {"named": text, "era": 3})]
+
+
+def test_a_store_that_names_no_era_is_not_reported():
+    eras, reports = tracker()
+    assert eras.take(answer()) is None
+    assert (eras.current, reports) == (0, [])
