Failing tests: a store that returns from an older copy

Callers' statements ran by configuration 20 for five seconds after 22 was acknowledged. The store came back from a copy: its revision fell from 93 to 90, and 91 to 93 were given out again. Daemons that had known 93 took the new 91 to 93 for what they had.

In virtual time 15 daemons lose three changes and get three others under the same revisions: five seconds later followers still have the lost ones. Removals in the new history are not learnt either, also by daemons that all watch. The stand-in stores can return from a copy, and name their era.

--- a/tests/sessions/feedrig.py
+++ b/tests/sessions/feedrig.py
@@ -31,6 +31,7 @@
         self.silent = set()
         self.rate = 0
         self.oldest = 0
+        self.era = 1
 
     def put(self, kind, name, spec):
         """Write an object."""
@@ -58,6 +59,18 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self):
+        """A copy to return from."""
+        kinds = {kind: dict(objects) for kind, objects in self.kinds.items()}
+        return self.revision, kinds, list(self.history)
+
+    def return_from(self, copy):
+        """Return from a copy: what came after it is lost, its revisions come again."""
+        self.era += 1
+        self.revision, kinds, history = copy
+        self.kinds = {kind: dict(objects) for kind, objects in kinds.items()}
+        self.history = list(history)
+
     def forget_history(self):
         """Drop the history: watches from before get an error."""
         self.history.clear()
@@ -99,6 +112,8 @@
         """Changes since a revision, as soon as there is one."""
         wait = wait_ms / 1000
         await self.arrive("watch", wait + 1.0)
+        if since > self.store.revision:
+            raise HistoryGone("no such revision", step="watch", peer="store")
         loop = asyncio.get_running_loop()
         until = loop.time() + wait
         while not (found := self.found(kind, since)) and loop.time() < until:
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+from copy import deepcopy
+from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -14,17 +16,28 @@
 STALL_SECONDS = 60.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """What a store holds at a moment."""
+
+    revision: int
+    kinds: dict
+    history: list
+
+
 class ObjectStore:
     """Objects by kind and name, one rising revision, a history for watches.
 
     `refuse` is a status that every call gets; `silent` holds every answer back, `slow`
     for some seconds; `lose` is how many writes are done and not answered; `rate` is how
     many bytes a second each answer comes in, 0 for at once; `stall_after` is how many
-    bytes come before an answer stands still, 0 for none that does.
+    bytes come before an answer stands still, 0 for none that does. Every answer names
+    the `era`, unless that is 0.
     """
 
     def __init__(self):
         self.revision = 0
+        self.era = 0
         self.kinds = {}
         self.history = []
         self.oldest = 0
@@ -75,6 +88,21 @@
         self.oldest = self.revision
         self.history.clear()
 
+    def copy(self):
+        """A copy to return from."""
+        return StoreCopy(
+            revision=self.revision,
+            kinds=deepcopy(self.kinds),
+            history=list(self.history),
+        )
+
+    def return_from(self, copy):
+        """Return from a copy: what came after it is lost, its revisions come again."""
+        self.era += 1
+        self.revision = copy.revision
+        self.kinds = deepcopy(copy.kinds)
+        self.history = list(copy.history)
+
     def listen(self, port=0, more=()):
         """Serve on a port, of the system's choice if 0; returns the address."""
         sockets = bind_sockets(port, "127.0.0.1")
@@ -99,6 +127,11 @@
         """Take the store."""
         self.store = store
 
+    def name_era(self):
+        """Name the era that the store is in as it answers."""
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
+
     async def prepare(self):
         """Apply the faults."""
         self.store.calls.append((self.request.method, self.request.uri))
@@ -106,6 +139,7 @@
             await asyncio.sleep(self.store.slow)
         while self.store.silent:
             await asyncio.sleep(0.05)
+        self.name_era()
         if self.store.refuse:
             self.set_status(self.store.refuse)
             self.finish()
@@ -120,6 +154,7 @@
             self.request.connection.stream.close()
             self._finished = True
             return
+        self.name_era()
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body))
@@ -129,6 +164,7 @@
         if not (self.store.rate or self.store.stall_after):
             self.answer(body)
             return
+        self.name_era()
         data = json.dumps(body).encode()
         self.set_header("Content-Length", str(len(data)))
         sent = 0
@@ -161,6 +197,9 @@
 
     async def watch(self, kind, since):
         """Changes since a revision, as soon as there is one."""
+        if since > self.store.revision:
+            self.answer({"error": "gone"}, 410)
+            return
         loop = asyncio.get_running_loop()
         until = loop.time() + int(self.get_query_argument("waitMs", "0")) / 1000
         while True:
