Revisions carry the era of the store's history

What callers saw: statements ran by configuration 20 for five seconds after 22 was acknowledged (35 of 68 daemons served by it for seven).

Cause: the store returned from an older copy, its revision fell from 93 to 90, and 91 to 93 were given out again. Followers that had known 93 compared revisions of two histories: is_current(93, 91) and usable() took the new changes for old ones, and a watch from 93 was granted again once the new history had passed it, without what came before.

Evidence: the 35 daemons are those with 93 known while watchers vouched for 91; all took 94 at once.

A watcher that is still in the earlier history vouches for nothing to who knows the later one. Ruled out: answers that were given up (none failed), watchers that vouch in silence (theirs was 22).

--- a/packages/policy/gypsum_policy/relays.py
+++ b/packages/policy/gypsum_policy/relays.py
@@ -7,6 +7,8 @@
 behind. Whoever does not reach the store follows a daemon that does.
 """
 
+from gypsum_policy.revisions import same_era
+
 # Watchers in each failure domain: the loss of one leaves one near.
 WATCHERS_PER_DOMAIN = 2
 # Up to this many daemons all watch: a dozen cost less than what a hop adds in delay.
@@ -79,6 +81,8 @@
     """Tell whether changes between two revisions follow on what is known.
 
     What goes wrong without it: the changes before `since` are missing for as long as
-    the process runs, since it takes itself for caught up to `revision`.
+    the process runs, since it takes itself for caught up to `revision`. Nothing follows
+    on what is known of an earlier history of the store: what that one lost and removed
+    is in no changes.
     """
-    return since <= known < revision
+    return same_era(known, revision) and since <= known < revision
--- /dev/null
+++ b/packages/policy/gypsum_policy/revisions.py
@@ -0,0 +1,42 @@
+"""Revisions of the store, ordered over its returns from older copies.
+
+Load pattern: the store is away for a moment and returns from a copy that is some
+seconds old. It gives out again the revisions that it has lost, to other changes. Some
+daemons learn of it seconds before others, and news of both histories are on their way.
+
+The store names the era of its history in each answer. A revision is one whole number
+with the era in its upper bits, so that every revision of a later era is above all those
+of an earlier one, and comparisons need not know of eras. Without eras it is the store's
+own number.
+"""
+
+# A thousand changes a second use these bits up in 34 years. JSON's numbers are exact up
+# to 53 bits, which leaves 13 for eras.
+NUMBER_BITS = 40
+MOST_NUMBER = (1 << NUMBER_BITS) - 1
+
+
+def in_era(era, number):
+    """The revision that the store calls by a number in an era."""
+    return era << NUMBER_BITS | number
+
+
+def era_of(revision):
+    """The era of a revision."""
+    return revision >> NUMBER_BITS
+
+
+def number_of(revision):
+    """What the store calls a revision."""
+    return revision & MOST_NUMBER
+
+
+def same_era(revision, other):
+    """Tell whether two revisions belong to one history."""
+    return era_of(revision) == era_of(other)
+
+
+def label(revision):
+    """A revision as logs show it: `era/number`, or the number where there is no era."""
+    era, number = era_of(revision), number_of(revision)
+    return f"{era}/{number}" if era else number
--- a/packages/sessions/gypsum_sessions/daemons/following.py
+++ b/packages/sessions/gypsum_sessions/daemons/following.py
@@ -14,6 +14,7 @@
     continues,
     is_current,
 )
+from gypsum_policy.revisions import era_of, label, same_era
 from gypsum_sessions.daemons.asks import FeedState, Fetch, Follow, News, Unfollow
 from gypsum_sessions.daemons.packing import PackingError, unpack
 from gypsum_sessions.daemons.peers import PeerLost
@@ -31,7 +32,7 @@
     """A feed as this daemon and its watcher know it.
 
     `known` is the revision up to which this daemon has taken it in. `state` is what the
-    watcher vouches for, None if it is not in touch with the store. `waiting` news are
+    watcher tells of it, None if it is not in touch with the store. `waiting` news are
     not taken in yet, `pieces` of a whole list belong to the revision `pieces_of`, and
     one was `asked_at` then. `behind_since` is None for a daemon that is not behind.
     """
@@ -48,10 +49,22 @@
     ahead_since: float | None = None
     ahead_told: bool = False
 
+    @property
+    def vouched(self):
+        """The watcher's state, None if it is of an earlier history of the store."""
+        if self.state is None or era_of(self.state.revision) < era_of(self.known):
+            return None
+        return self.state
+
     @property
     def behind(self):
         """Tell whether the watcher has changes that this daemon lacks."""
-        return self.state is not None and not is_current(self.known, self.state.since)
+        state = self.vouched
+        if state is None:
+            return False
+        if not same_era(self.known, state.revision):
+            return True
+        return not is_current(self.known, state.since)
 
     @property
     def ahead(self):
@@ -115,7 +128,7 @@
         if self.link is None or self.clock() - self.heard_at > SILENT_AFTER:
             return False
         feed = self.feed(name)
-        return feed.state is not None and not feed.behind
+        return feed.vouched is not None and not feed.behind
 
     def age(self, name):
         """Seconds since a watcher vouched for all that is known; None if none does."""
@@ -285,7 +298,7 @@
             return False
         watches = self.daemons.watches()
         needed = [feed for feed in self.feeds.values() if feed.lost or not watches]
-        return any(feed.state is None for feed in needed)
+        return any(feed.vouched is None for feed in needed)
 
     def leave(self):
         """Follow nobody; what was passed on and not taken is forgotten."""
@@ -369,7 +382,7 @@
     """Log fields: how far a feed is known here and at the watcher."""
     return {
         "feed": name,
-        "known": feed.known,
-        "vouched": feed.state.revision if feed.state else None,
-        "changed": feed.state.since if feed.state else None,
+        "known": label(feed.known),
+        "vouched": label(feed.state.revision) if feed.state else None,
+        "changed": label(feed.state.since) if feed.state else None,
     }
--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from gypsum_policy.relays import BEAT_EVERY, MOST_BYTES, PIECE_BYTES, PIECE_PAUSE
+from gypsum_policy.revisions import same_era
 from gypsum_sessions.daemons.asks import Current, FeedState, News, Piece, encode
 from gypsum_sessions.daemons.packing import pack
 
@@ -67,7 +68,9 @@
     def take_all(self, name, objects, revision):
         """A whole list came: objects by name."""
         feed = self.feeds.setdefault(name, KnownFeed())
-        same = feed.revision and feed.objects == objects
+        # Who knows the end of a lost history may lack what stands here.
+        lasts = feed.revision and same_era(feed.revision, revision)
+        same = lasts and feed.objects == objects
         feed.objects, feed.revision = dict(objects), revision
         self.touched(name)
         if same:
--- a/packages/sessions/gypsum_sessions/measures.py
+++ b/packages/sessions/gypsum_sessions/measures.py
@@ -3,6 +3,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from gypsum_policy.revisions import era_of, number_of
 from gypsum_sessions.daemons.usage import Tally
 
 # Workspaces with series of their own; all further ones share one. What goes wrong
@@ -110,8 +111,9 @@
         self.drain_ended.set({}, proxy.drain_ended)
         self.take_usage(proxy.usage)
         for name, feed in proxy.following.feeds.items():
-            vouched = feed.state.revision if feed.state else -1
-            self.feeds.set({"feed": name, "what": "known"}, feed.known)
+            vouched = number_of(feed.state.revision) if feed.state else -1
+            self.feeds.set({"feed": name, "what": "era"}, era_of(feed.known))
+            self.feeds.set({"feed": name, "what": "known"}, number_of(feed.known))
             self.feeds.set({"feed": name, "what": "vouched"}, vouched)
             self.feeds.set({"feed": name, "what": "behind"}, int(feed.behind))
             self.feeds.set({"feed": name, "what": "store_lost"}, int(feed.lost))
--- /dev/null
+++ b/tests/platform/test_returned_store.py
@@ -0,0 +1,136 @@
+"""The store's client while the store returns from an older copy."""
+
+import asyncio
+
+import pytest
+
+from gypsum_platform.store import Conflict, HistoryGone, Store, StoreError
+from gypsum_policy.revisions import era_of, number_of
+from tests.standins.objectstore import ObjectStore
+
+KIND = "kind"
+
+
+def with_store(main):
+    """Run a test against a store of its own that has eras."""
+
+    async def body():
+        stand_in = ObjectStore()
+        stand_in.era = 1
+        await main(stand_in, Store(address=stand_in.listen()))
+
+    asyncio.run(body())
+
+
+def test_a_watch_from_a_lost_history_is_told_so_whatever_the_new_one_has():
+    """Guards against changes that are missed below a revision of the lost history."""
+
+    async def main(stand_in, client):
+        stand_in.put(KIND, "a", {"x": 1})
+        copy = stand_in.copy()
+        stand_in.put(KIND, "a", {"x": 2})
+        _, known = await client.list_objects(KIND)
+        stand_in.return_from(copy)
+        for number in range(5):
+            stand_in.put(KIND, f"n{number}", {})
+        with pytest.raises(HistoryGone):
+            await client.watch(KIND, known, wait_ms=0)
+        objects, revision = await client.list_objects(KIND)
+        assert {obj.name for obj in objects} == {"a", *(f"n{n}" for n in range(5))}
+        assert (era_of(revision), number_of(revision)) == (2, 6)
+        assert revision > known
+
+    with_store(main)
+
+
+def test_a_watch_that_hangs_through_the_return_is_told_so():
+    """Guards against changes of a new history that are taken for the old one's."""
+
+    async def main(stand_in, client):
+        stand_in.put(KIND, "a", {})
+        copy = stand_in.copy()
+        for number in range(3):
+            stand_in.put(KIND, f"lost{number}", {})
+        _, known = await client.list_objects(KIND)
+        watch = asyncio.create_task(client.watch(KIND, known, wait_ms=3000))
+        await asyncio.sleep(0.1)
+        stand_in.return_from(copy)
+        for number in range(4):
+            stand_in.put(KIND, f"n{number}", {})
+        with pytest.raises(HistoryGone):
+            await watch
+
+    with_store(main)
+
+
+def test_a_condition_on_a_revision_of_a_lost_history_never_holds():
+    """Guards against a write over another state that has the same revision."""
+
+    async def main(stand_in, client):
+        copy = stand_in.copy()
+        made = await client.create(KIND, "a", {"by": "us"})
+        stand_in.return_from(copy)
+        stand_in.put(KIND, "a", {"by": "others"})
+        await client.list_objects(KIND)
+        with pytest.raises(Conflict):
+            await client.replace(KIND, "a", {"by": "us"}, revision=made.revision)
+        with pytest.raises(Conflict):
+            await client.delete(KIND, "a", revision=made.revision)
+        assert stand_in.kinds[KIND]["a"]["spec"] == {"by": "others"}
+
+    with_store(main)
+
+
+def test_a_conditional_write_that_meets_the_return_is_no_success():
+    """Guards against a write that counts as done on a state nobody has looked at."""
+
+    async def main(stand_in, client):
+        copy = stand_in.copy()
+        made = await client.create(KIND, "a", {"by": "us"})
+        stand_in.return_from(copy)
+        stand_in.put(KIND, "a", {"by": "others"})
+        with pytest.raises(StoreError):
+            await client.replace(KIND, "a", {"by": "us"}, revision=made.revision)
+
+    with_store(main)
+
+
+@pytest.mark.parametrize("era", [1, 0])
+def test_an_answer_of_an_earlier_era_or_without_one_is_not_taken(era):
+    """Guards against a late answer that brings back what was lost."""
+
+    async def main(stand_in, client):
+        stand_in.era = 2
+        stand_in.put(KIND, "a", {})
+        _, known = await client.list_objects(KIND)
+        stand_in.era = era
+        for call in (
+            client.list_objects(KIND),
+            client.get_object(KIND, "a"),
+            client.watch(KIND, known, wait_ms=0),
+            client.create(KIND, "b", {}),
+        ):
+            with pytest.raises(StoreError):
+                await call
+        stand_in.era = 2
+        assert (await client.list_objects(KIND))[1] >= known
+
+    with_store(main)
+
+
+def test_an_era_that_a_revision_shows_counts_before_the_store_names_it():
+    """Guards against a list of the old history after news of the new one."""
+
+    async def main(stand_in, client):
+        stand_in.put(KIND, "a", {})
+        await client.list_objects(KIND)
+        stand_in.era = 2
+        other = Store(address=client.address)
+        _, known = await other.list_objects(KIND)
+        stand_in.era = 1
+        with pytest.raises(StoreError):
+            await client.watch(KIND, known, wait_ms=0)
+        with pytest.raises(StoreError):
+            await client.list_objects(KIND)
+
+    with_store(main)
--- a/tests/sessions/feedrig.py
+++ b/tests/sessions/feedrig.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from random import Random
 
 from gypsum_platform.feeds import Feed, Waker
 from gypsum_platform.store import Change, HistoryGone, StoredObject, StoreError
+from gypsum_policy.revisions import era_of, in_era, number_of
 from tests.sessions.rig import Rig
 
 KINDS = ("config", "servers")
@@ -104,19 +106,21 @@
     async def list_objects(self, kind):
         """All objects of a kind, and the store's revision."""
         await self.arrive("list", 2.0)
-        objects, revision = list(self.store.kinds[kind].values()), self.store.revision
-        await self.carry(objects)
-        return objects, revision
+        found, revision = list(self.store.kinds[kind].values()), self.store.revision
+        era = self.store.era
+        await self.carry(found)
+        return [read_in(era, obj) for obj in found], in_era(era, revision)
 
     async def watch(self, kind, since, *, wait_ms):
         """Changes since a revision, as soon as there is one."""
         wait = wait_ms / 1000
         await self.arrive("watch", wait + 1.0)
-        if since > self.store.revision:
+        self.check_history(since)
+        if number_of(since) > self.store.revision:
             raise HistoryGone("no such revision", step="watch", peer="store")
         loop = asyncio.get_running_loop()
         until = loop.time() + wait
-        while not (found := self.found(kind, since)) and loop.time() < until:
+        while not (found := self.found(kind, number_of(since))) and loop.time() < until:
             event = self.store.changed
             try:
                 async with asyncio.timeout(until - loop.time()):
@@ -128,9 +132,19 @@
             raise StoreError("silent", step="watch", peer="store")
         if self.daemon in self.store.busy:
             raise StoreError("cut off", step="watch", peer="store")
-        revision = self.store.revision
+        self.check_history(since)
+        revision = in_era(self.store.era, self.store.revision)
         await self.carry([change.obj for change in found])
-        return found, revision
+        changes = [
+            Change(obj=read_in(self.store.era, change.obj), deleted=change.deleted)
+            for change in found
+        ]
+        return changes, revision
+
+    def check_history(self, since):
+        """Raise HistoryGone if the store has returned from an older copy."""
+        if era_of(since) != self.store.era:
+            raise HistoryGone("an earlier era", step="watch", peer="store")
 
     def found(self, kind, since):
         """Changes of a kind since a revision."""
@@ -143,6 +157,15 @@
         ]
 
 
+def read_in(era, obj):
+    """An object as it is read in an era."""
+    return replace(
+        obj,
+        revision=in_era(era, obj.revision),
+        created=in_era(era, obj.created),
+    )
+
+
 class Copy:
     """What one daemon has taken in of a kind: specs by name."""
 
