Leases that the store lost: their tokens are not given out again, their rest stands

What callers could have seen: two daemons promote under one fencing token, or in turns, after the store returned from an older copy: it shows no lease or the one before, and the next daemon takes the token that the lost lease has.

Now a token of a later era is above all that an earlier one can have given out; a lease that a daemon knows and the store lacks keeps its rest, and its chain of unsettled takeovers goes on; a lease that is taken as the store returns is nobody's.

--- a/packages/policy/gypsum_policy/revisions.py
+++ b/packages/policy/gypsum_policy/revisions.py
@@ -10,6 +10,9 @@
 own number.
 """
 
+# Take-overs of a group in one era that have tokens of their own: one a second for
+# twelve days.
+TOKEN_BITS = 20
 # A thousand changes a second use these bits up in 34 years. JSON's numbers are exact up
 # to 53 bits, which leaves 13 for eras.
 NUMBER_BITS = 40
@@ -36,6 +39,16 @@
     return era_of(revision) == era_of(other)
 
 
+def next_token(last, era):
+    """The fencing token that follows on the last one known, in an era.
+
+    The store may have lost the lease that carried the newest token, and who holds it
+    may still order under it. Those of a later era are above all that an earlier one
+    can have given out.
+    """
+    return max(last + 1, era << TOKEN_BITS)
+
+
 def label(revision):
     """A revision as logs show it: `era/number`, or the number where there is no era."""
     era, number = era_of(revision), number_of(revision)
--- a/packages/sessions/gypsum_sessions/borders.py
+++ b/packages/sessions/gypsum_sessions/borders.py
@@ -106,7 +106,7 @@
     async def take(
         self, group: str, holder: str, seen: PromotionLease
     ) -> PromotionLease | None:
-        """Take over with the next token if the lease is still as `seen`.
+        """Take over with a higher token if the lease is still at `seen.revision`.
 
         None: somebody else changed it. Raises LeaseError when it is unclear.
         """
--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -238,8 +238,9 @@
     async def take_lease(self, reason):
         """Get a fresh token for this attempt; tell whether we have it."""
         name, tuning = self.group.name, self.around.tuning
-        seen = await self.leases.read(name)
-        self.board.note(name, seen)
+        found = await self.leases.read(name)
+        self.board.note(name, found)
+        seen = self.board.newest(name, found)
         foreign = seen.holder not in ("", self.daemon)
         if foreign and self.board.age(name) < tuning.lease_rest:
             self.log("left to its holder", reason=reason, holder=seen.holder)
--- a/packages/sessions/gypsum_sessions/takeover/leaseboard.py
+++ b/packages/sessions/gypsum_sessions/takeover/leaseboard.py
@@ -59,6 +59,19 @@
         elif lease.token == known.lease.token and lease.settled:
             self.seen[group] = replace(known, lease=lease)
 
+    def newest(self, group, seen):
+        """A lease as the store has it, or the newer one that the store has lost.
+
+        The latter at the store's revision, which a write over it has to name. What goes
+        wrong with the store's own: it returned from an older copy, nobody seems to hold
+        the lease, and a second daemon acts beside the holder, or under its token.
+        """
+        known = self.seen.get(group)
+        if known is None or known.lease.token <= seen.token:
+            return seen
+        lost = known.lease
+        return replace(lost, revision=seen.revision, chain_began=lost.began)
+
     def token(self, group):
         """The newest token known, 0 if there is none."""
         known = self.seen.get(group)
--- a/tests/platform/test_returned_store.py
+++ b/tests/platform/test_returned_store.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from gypsum_platform.leases import StoreLeases
 from gypsum_platform.store import Conflict, HistoryGone, Store, StoreError
 from gypsum_policy.revisions import era_of, number_of
+from gypsum_sessions.borders import LeaseError
 from tests.standins.objectstore import ObjectStore
 
 KIND = "kind"
@@ -134,3 +136,36 @@
             await client.list_objects(KIND)
 
     with_store(main)
+
+
+def test_a_token_of_a_lost_lease_is_never_given_out_again():
+    """Guards against two daemons that promote under the same fencing token."""
+
+    async def main(stand_in, client):
+        leases = StoreLeases(store=client)
+        copy = stand_in.copy()
+        lost = await leases.take("g", "d1", await leases.read("g"))
+        stand_in.return_from(copy)
+        other = StoreLeases(store=Store(address=client.address))
+        found = await other.take("g", "d2", await other.read("g"))
+        assert found.token > lost.token
+        again = await other.take("g", "d3", await other.read("g"))
+        assert again.token == found.token + 1
+
+    with_store(main)
+
+
+def test_a_lease_that_is_taken_while_the_store_returns_is_nobodys():
+    """Guards against a token that was reckoned in one history and taken in another."""
+
+    async def main(stand_in, client):
+        leases = StoreLeases(store=client)
+        copy = stand_in.copy()
+        seen = await leases.read("g")
+        stand_in.return_from(copy)
+        with pytest.raises(LeaseError):
+            await leases.take("g", "d1", seen)
+        found = await leases.take("g", "d1", await leases.read("g"))
+        assert era_of(found.revision) == 2
+
+    with_store(main)
