A member that leaves goes on leaving after the store returned from an older copy

What callers could have seen: new work for an upstream that ends within seconds. The copy may be older than its report that it drains; until it writes that again its entry says that it is ready. The test fails on the code before. Within one era an entry that takes the word back still counts, as before.

--- a/packages/sessions/gypsum_sessions/upstreams/roster.py
+++ b/packages/sessions/gypsum_sessions/upstreams/roster.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
+from gypsum_policy.revisions import same_era
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
@@ -55,6 +57,11 @@
     return replace(member, joined=max(member.joined, member.changed))
 
 
+def returned(known, member):
+    """Tell whether the store has returned from a copy since an entry was known."""
+    return not same_era(known.changed, member.changed)
+
+
 class Roster:
     """All known upstreams."""
 
@@ -86,6 +93,9 @@
         if known is not None and known.changed and known.joined > member.joined:
             # It restarted under its entry, which is older than this incarnation.
             member = replace(member, joined=known.joined)
+        if known is not None and known.leaving and returned(known, member):
+            # The copy may be older than its word that it leaves, which it gives again.
+            member = replace(member, leaving=True)
         since = known.leaving_since if known else None
         if member.leaving and since is None:
             since = self.clock()
