Daemons that a whole list lacks keep their places for some seconds

What callers could have seen: the store returns from a copy that is older than the fleet, each daemon finds itself alone, owns every group and opens connections to all upstreams. A daemon that vanishes from a whole list is now missing for 5 s and the time in which a fleet writes its entries again (its size / 200 a second); one whose removal the watch tells is dropped at once, as before.

--- a/packages/sessions/gypsum_sessions/daemons/registry.py
+++ b/packages/sessions/gypsum_sessions/daemons/registry.py
@@ -38,6 +38,8 @@
         # Whether this daemon had an entry from before its start.
         self.rejoined = False
         self.known = {own.id: own}
+        # Looks at daemons that the last whole list lacked.
+        self.missing = {}
         self.placement = Placement()
         self.found = {}
         # Whether the list is another one than that which was ordered.
@@ -60,19 +62,34 @@
         self.rejoined = True
 
     def take_all(self, entries):
-        """Take in the whole list."""
+        """Take in the whole list; who vanished from it is missing for a while."""
         self.listed = True
-        self.known = {entry.id: entry for entry in entries}
-        self.known.setdefault(self.own.id, self.own)
+        found = {entry.id: entry for entry in entries}
+        found.setdefault(self.own.id, self.own)
+        self.missing = {
+            name: self.missing.get(name, 0) for name in self.known.keys() - found
+        }
+        kept = {name: self.known[name] for name in self.missing}
+        self.known = kept | found
         self.changed = True
 
+    def expire(self, looks):
+        """One look: returns who was missing in so many, to be dropped.
+
+        Looks are counted, not time: a daemon that was suspended has seen no list.
+        """
+        self.missing = {name: seen + 1 for name, seen in self.missing.items()}
+        return [name for name, seen in self.missing.items() if seen >= looks]
+
     def add(self, entry):
         """A daemon registered, or changed its entry."""
         self.known[entry.id] = entry
+        self.missing.pop(entry.id, None)
         self.changed = True
 
     def discard(self, name):
         """A daemon's entry was removed; our own place is kept."""
+        self.missing.pop(name, None)
         if name != self.own.id and self.known.pop(name, None) is not None:
             self.changed = True
 
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gypsum_policy.membership import missing_for
 from gypsum_policy.relays import FEW_DAEMONS
 from gypsum_sessions.borders import LeaseError
 from gypsum_sessions.callers.requestlog import RequestLog
@@ -213,6 +214,13 @@
         self.daemons.add(entry)
         self.usage.list_changed()
 
+    def drop_missing(self):
+        """One look at daemons that the list lacks: drop those that stay away."""
+        looks = round(missing_for(len(self.daemons.known)) / TEND_EVERY)
+        for name in self.daemons.expire(looks):
+            self.log(PART, "daemon not listed any more", peer=name)
+            self.drop_daemon(name)
+
     def drop_daemon(self, name):
         """A daemon's entry was removed."""
         self.daemons.discard(name)
@@ -386,6 +394,7 @@
             for member in self.roster.expire():
                 self.log(PART, "upstream gone", upstream=member.id)
                 self.refresh_members(member.group)
+            self.drop_missing()
             await self.end_idle_transactions()
             self.hosting.tend()
             for group in self.groups.values():
