Entries, link key and records that the store lost are written again

What callers could have seen: after the store returned from an older copy daemons that are not on the list own nothing that others ask them for, a daemon that starts makes a link key of its own and reaches none of the others, and one that starts while the list has gaps finds no record of a group.

Now a whole list without our entry or the key writes both again, spread over size / 200 seconds, the key as it was; records are due again after two looks.

In virtual time 9, 65 and 195 daemons whose entries are all lost write at most 400 a second, nobody is unaware of another one at any time.

--- a/packages/sessions/gypsum_sessions/upstreams/recorder.py
+++ b/packages/sessions/gypsum_sessions/upstreams/recorder.py
@@ -45,6 +45,11 @@
         """Take in a record as the store has it."""
         self.recorded[group] = fingerprint(members)
 
+    def keep_listed(self, groups):
+        """The store has the records of these groups alone: the others are due again."""
+        for group in self.recorded.keys() - set(groups):
+            self.recorded[group] = frozenset()
+
     def knows(self, group):
         """Tell whether a group's members are on record."""
         return group in self.recorded
--- a/tests/platform/test_registrar.py
+++ b/tests/platform/test_registrar.py
@@ -180,3 +180,24 @@
         assert told == []
 
     with_registrar(main)
+
+
+def test_an_entry_and_a_key_that_the_store_lost_are_written_again():
+    """Guards against a daemon that nobody finds after the store has returned."""
+
+    async def main(stand_in, client, registrar, proxy):
+        empty = stand_in.copy()
+        running = asyncio.create_task(registrar.run())
+        await asyncio.sleep(1.2)
+        await list_daemon(stand_in, client, registrar, "d2")
+        key = registrar.taker.key
+        stand_in.return_from(empty)
+        objects, _ = await client.list_objects(OWN_KIND)
+        registrar.taker.take_all(objects)
+        await asyncio.sleep(1.0)
+        running.cancel()
+        found = await entries(client)
+        assert found["daemon.d1"] == {"domain": OWN.domain, "link": OWN.link}
+        assert found[LINK_KEY] == {"key": key}
+
+    with_registrar(main)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -177,19 +177,28 @@
         self.members.pop(upstream, None)
 
 
+class DaemonsDouble(dict):
+    """Daemons by name."""
+
+    @property
+    def known(self):
+        """All of them."""
+        return self
+
+
 class RecallDouble(ProxyDouble):
     """Keeps what was recalled of the groups' members."""
 
     def __init__(self):
         super().__init__()
-        self.daemons = {}
+        self.daemons = DaemonsDouble()
         self.board = LeaseBoard(clock=time.monotonic, rest=4.0)
         self.recorder = MemberRecorder(records=None, log=self.log)
         self.recalled = {}
 
     def take_daemons(self, entries):
         """The daemons that are registered."""
-        self.daemons = {entry.id: entry for entry in entries}
+        self.daemons = DaemonsDouble({entry.id: entry for entry in entries})
 
     def recall(self, group, members):
         """A record found at the start."""
--- /dev/null
+++ b/tests/sessions/test_fleet_store_return.py
@@ -0,0 +1,87 @@
+"""A fleet whose entries are lost as the store returns from an older copy."""
+
+import asyncio
+
+import pytest
+
+from gypsum_platform.leases import OWN_KIND
+from gypsum_platform.takers import DAEMON_PREFIX, LINK_KEY
+from gypsum_policy.membership import REWRITES_PER_S, missing_for, rewrite_pause
+from gypsum_sessions.daemons.registry import DaemonEntry, Daemons
+from tests.sessions.fleetrig import FleetRig
+from tests.sessions.vclock import run
+
+SETTLED = 10.0
+# Entries that are written in any second at most, twice the rate that they aim at.
+MOST_WRITES = 2 * REWRITES_PER_S
+
+
+async def lose_all_entries(rig):
+    """The store returns from a copy that is older than the fleet."""
+    empty = rig.store.copy()
+    await asyncio.sleep(SETTLED)
+    assert rig.unaware() == []
+    key = rig.store.kinds[OWN_KIND][LINK_KEY].spec
+    rig.calls()
+    rig.store.return_from(empty)
+    return key
+
+
+def listed(rig):
+    """Daemons that have an entry in the store."""
+    return [name for name in rig.store.kinds[OWN_KIND] if DAEMON_PREFIX in name]
+
+
+@pytest.mark.parametrize("daemons", [9, 65, 195])
+def test_lost_entries_and_the_key_are_written_again_without_a_rush(daemons):
+    """Guards against a fleet of which new daemons know nothing, with another key."""
+
+    async def main():
+        rig = FleetRig(daemons=daemons)
+        key = await lose_all_entries(rig)
+        for _ in range(20):
+            before = rig.calls()["create", OWN_KIND]
+            assert before <= MOST_WRITES
+            await asyncio.sleep(1.0)
+        assert len(listed(rig)) == daemons
+        assert rig.store.kinds[OWN_KIND][LINK_KEY].spec == key
+        assert rig.unaware() == []
+
+    run(main())
+
+
+@pytest.mark.parametrize("daemons", [9, 65])
+def test_daemons_keep_their_places_while_entries_are_lost(daemons):
+    """Guards against daemons that each take themselves for the only one."""
+
+    async def main():
+        rig = FleetRig(daemons=daemons)
+        await lose_all_entries(rig)
+        for _ in range(200):
+            assert rig.unaware() == []
+            await asyncio.sleep(0.1)
+
+    run(main())
+
+
+def entries(*names):
+    """Entries of daemons."""
+    return [DaemonEntry(id=name, domain="a", revision=1) for name in names]
+
+
+def test_who_stays_off_the_list_is_dropped_after_its_looks():
+    daemons = Daemons(own=DaemonEntry(id="d1", domain="a"))
+    daemons.take_all(entries("d1", "d2", "d3"))
+    daemons.take_all(entries("d1"))
+    assert set(daemons.known) == {"d1", "d2", "d3"}
+    assert daemons.expire(2) == []
+    daemons.add(entries("d3")[0])
+    assert daemons.expire(2) == ["d2"]
+    daemons.discard("d2")
+    assert daemons.expire(2) == []
+    assert set(daemons.known) == {"d1", "d3"}
+
+
+def test_a_large_fleet_writes_for_as_long_as_its_daemons_keep_their_places():
+    assert rewrite_pause(4000, 1.0) == 4000 / REWRITES_PER_S
+    assert missing_for(4000) > rewrite_pause(4000, 1.0)
--- a/tests/sessions/test_recorder.py
+++ b/tests/sessions/test_recorder.py
@@ -188,3 +188,23 @@
         assert len(rig.group.promotions) == 1
 
     run(main())
+
+
+def test_a_record_that_the_store_lost_is_written_again():
+    """Guards against a start that takes a part of a group for the whole of it."""
+
+    async def main():
+        rig = Rig(daemons=3)
+        start_recording(rig)
+        for proxy in rig.proxies:
+            proxy.recorder.note("db", rig.group.listing())
+            proxy.recorder.keep_listed(["db"])
+        await looks(RECORD_AFTER + 2 * RECORD_STEP)
+        assert rig.records.saves == 0
+        for proxy in rig.proxies:
+            proxy.recorder.keep_listed([])
+            assert proxy.recorder.knows("db")
+        await looks(RECORD_AFTER)
+        assert rig.records.saves == 1
+
+    run(main())
