--- a/tests/platform/test_returned_store.py
+++ b/tests/platform/test_returned_store.py
@@ -169,3 +169,21 @@
         assert era_of(found.revision) == 2
 
     with_store(main)
+
+
+def test_a_watch_that_waits_ends_once_another_call_has_met_the_new_era():
+    """Guards against seconds in which a quiet kind is known by the lost history."""
+
+    async def main(stand_in, client):
+        stand_in.put(KIND, "a", {})
+        copy = stand_in.copy()
+        _, known = await client.list_objects(KIND)
+        watch = asyncio.create_task(client.watch(KIND, known, wait_ms=4000))
+        await asyncio.sleep(0.1)
+        stand_in.return_from(copy)
+        await client.list_objects("other")
+        with pytest.raises(HistoryGone):
+            async with asyncio.timeout(0.5):
+                await watch
+
+    with_store(main)
