--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,6 +35,9 @@
     planned: Annotated[
         bool, cappa.Arg(long=True, help="Restarts and changes alone.")
     ] = False
+    returns: Annotated[
+        bool, cappa.Arg(long=True, help="Also a store that returns from older copies.")
+    ] = False
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder of logs; one of its own if not.")
     ] = None
@@ -58,6 +61,7 @@
                 folder=place,
                 connections=options.connections,
                 planned=options.planned,
+                returns=options.returns,
             )
         )
         print(began, *outcome.lines(), sep="\n", flush=True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,6 +45,8 @@
 }
 # Planned work alone, none of which may end a transaction before its time.
 PLANNED = {"drain": 3, "drain_some": 3, "roll": 2, "hup": 1, "configure": 2}
+# All troubles, and a store that returns from older copies.
+RETURNS = {**WEIGHTS, "store_return": 15}
 # Pauses between troubles, seconds: often shorter than they last.
 PAUSES = (0.05, 0.3, 0.8, 1.5, 3.0)
 LASTS = (0.3, 1.0, 2.5, 5.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from soak.callers import Caller
 from soak.configs import Configs
 from soak.fleet import Fleet, StandInProcess, connect
-from soak.plan import PLANNED, WEIGHTS, draw
+from soak.plan import PLANNED, RETURNS, WEIGHTS, draw
 from soak.troubles import Troubles
 from tests.standins.platformworld import CONNECTIONS, says_ready
 
@@ -49,17 +49,32 @@
         yield f"findings: {len(self.broken) + len(self.exits)}"
 
 
+def kinds_of(*, planned, returns):
+    """The troubles that are drawn."""
+    if planned:
+        return PLANNED
+    return RETURNS if returns else WEIGHTS
+
+
 async def soak(
-    *, seed, seconds, daemons, folder, connections=CONNECTIONS, planned=False
+    *,
+    seed,
+    seconds,
+    daemons,
+    folder,
+    connections=CONNECTIONS,
+    planned=False,
+    returns=False,
 ):
     """Play one seed; returns its outcome. Logs and settings stay in the folder.
 
     `connections` is what an upstream takes: with few some daemons own the group, and
-    the others send them statements. `planned` draws planned work alone.
+    the others send them statements. `planned` draws planned work alone, `returns` also
+    a store that returns from older copies.
     """
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    steps = draw(seed, seconds, PLANNED if planned else WEIGHTS)
+    steps = draw(seed, seconds, kinds_of(planned=planned, returns=returns))
     book, stats = Book(), Stats()
     (folder / "schedule.txt").write_text("\n".join(map(str, steps)) + "\n")
     standins = StandInProcess(heard=book.heard, connections=connections)
@@ -67,6 +82,8 @@
     began = time.monotonic()
     try:
         await fleet.start(daemons, await standins.start())
+        if returns:
+            await standins.do("keep_copies")
         await until_ready(fleet)
         rng = Random(f"{seed}:configs")
         configs = Configs(fleet=fleet, standins=standins, book=book, rng=rng)
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -9,6 +9,7 @@
 import json
 import sys
 import time
+from collections import deque
 from itertools import count
 
 from gypsum_platform.takers import CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND
@@ -21,6 +22,11 @@
 # Data that a read lacked: more than callers write while a replica lags.
 MOST_LACKING = 2000
 BUSY = 503
+# A copy of the store is kept this often, seconds, and so many of them.
+COPY_EVERY = 0.5
+MOST_COPIES = 80
+# Operator and upstreams write again what the store lost within this, seconds.
+WRITTEN_AGAIN = 0.5
 
 
 def tell(**fields):
@@ -79,6 +85,9 @@
         self.version = 1
         self.added = []
         self.keys = []
+        self.spec = None
+        self.copies = deque(maxlen=MOST_COPIES)
+        self.world.store.era = 1
 
     async def start(self):
         """Serve; tells where."""
@@ -97,6 +106,30 @@
         if faults.get("forget"):
             store.forget_history()
 
+    def keep_copies(self):
+        """Keep a copy of the store now and then, from now on."""
+        self.copies.append((time.monotonic(), self.world.store.copy()))
+        self.later(COPY_EVERY, self.keep_copies)
+
+    def store_return(self, age):
+        """The store returns from a copy that is so old, or from the oldest."""
+        until = time.monotonic() - age
+        while len(self.copies) > 1 and self.copies[-1][0] > until:
+            self.copies.pop()
+        self.world.store.return_from(self.copies[-1][1])
+        self.later(WRITTEN_AGAIN, self.write_again)
+
+    def write_again(self):
+        """The operator and the upstreams write what is true now."""
+        store = self.world.store
+        if self.spec is not None:
+            store.put(CONFIG_KIND, CONFIG_NAME, self.spec)
+        alive = [member for member in self.group.members if not member.dead]
+        for name in store.kinds[UPSTREAM_KIND].keys() - {item.id for item in alive}:
+            store.remove(UPSTREAM_KIND, name)
+        for member in alive:
+            self.world.list_member(member)
+
     def member(self, name, what, value=True):
         """Set a fault of a member, or end it."""
         member = self.group[name]
@@ -160,6 +193,7 @@
         spec = configuration(self.version, self.world.connections, tenants(self.keys))
         spec["routes"] += [route(name, "read_your_writes") for name in self.added]
         spec["routes"] += [route(f"bulk{n}", "primary") for n in range(bulk)]
+        self.spec = spec
         self.world.store.put(CONFIG_KIND, CONFIG_NAME, spec)
         return {"version": self.version}
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -11,6 +11,8 @@
 LARGE = 1500
 DELAY = 0.08
 LAG = 1.0
+# How old the copies are from which the store returns, seconds.
+COPY_AGES = (1.0, 5.0, 30.0)
 
 
 class Troubles:
@@ -151,6 +153,14 @@
         """It forgets its history."""
         await self.store(0.0, forget=True)
 
+    async def store_return(self, lasts):
+        """It is away for a moment and returns from an older copy."""
+        self.trouble(self.fleet.daemons.values(), lasts)
+        await self.standins.do("store", silent=True)
+        await asyncio.sleep(lasts / 2)
+        await self.standins.do("store_return", age=self.rng.choice(COPY_AGES))
+        await self.standins.do("store")
+
     async def store_cut_from_some(self, lasts):
         """It turns some daemons away."""
         await self.wires([daemon.store for daemon in self.some()], lasts, refuse=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from gypsum_sessions.catalog import ReadRule
 from soak.book import CALM_FOR, DRAIN_LIMIT, Book
 from soak.configs import IN_FORCE, Configs
-from soak.plan import PLANNED, WEIGHTS, draw
+from soak.plan import PLANNED, RETURNS, draw
 from soak.run import soak
 from soak.troubles import Troubles
 from soak.wire import Wire
@@ -16,8 +16,9 @@
 from tests.promises import Acked, SentRead
 from tests.standins.platformworld import World
 
-# CI plays this one; `make soak` draws others.
+# CI plays these; `make soak` draws others.
 SEED = 1
+RETURNS_SEED = 6
 SECONDS = 12.0
 
 
@@ -253,7 +254,7 @@
 
 def test_a_seed_draws_the_same_troubles_and_each_exists():
     assert draw(7, 60.0) == draw(7, 60.0) != draw(8, 60.0)
-    assert all(hasattr(Troubles, name) for name in {**WEIGHTS, **PLANNED})
+    assert all(hasattr(Troubles, name) for name in {**RETURNS, **PLANNED})
     assert {step.trouble for step in draw(7, 60.0, PLANNED)} <= set(PLANNED)
 
 
@@ -279,3 +280,18 @@
     )
     assert outcome.broken == [] and outcome.exits == []
     assert outcome.statements > 0
+
+
+@pytest.mark.xdist_group("platform processes")
+def test_a_short_run_with_a_store_that_returns_from_copies_breaks_nothing(tmp_path):
+    outcome = asyncio.run(
+        soak(
+            seed=RETURNS_SEED,
+            seconds=SECONDS,
+            daemons=5,
+            folder=tmp_path,
+            returns=True,
+        )
+    )
+    assert outcome.broken == [] and outcome.exits == []
+    assert any(step.trouble == "store_return" for step in outcome.steps)
