--- a/packages/policy/gypsum_policy/membership.py
+++ b/packages/policy/gypsum_policy/membership.py
@@ -15,12 +15,12 @@
 # How often those that could not be reached are looked at, seconds.
 GONE_LOOK = 2.0
 
-# The store may have lost entries as it returned from an older copy. Its daemons write
-# them again, so many a second all together: a store that takes some hundred writes a
-# second has others to serve.
+# Lost entries that the whole fleet writes again in a second: half of what a small store
+# takes, which also serves upstreams and operators.
 REWRITES_PER_S = 200.0
-# They hear of it within this, seconds: a watch that hung through the return ends.
-HEARD_WITHIN = 5.0
+# Every daemon learns that the store has returned from a copy within this, seconds: the
+# longest watch and its margin.
+RETURN_KNOWN_WITHIN = 5.0
 
 # A list to which nobody was added for this long is whole, seconds: machines start
 # within a third of a second, and a fleet of hundreds keeps the store busy for longer.
@@ -40,21 +40,17 @@
 
 
 def rewrite_pause(daemons, draw):
-    """Seconds until a daemon writes its lost entry again; `draw` is from 0 to 1.
-
-    What goes wrong without it: the whole fleet writes at once, and the store turns
-    upstreams and operators away as well.
-    """
+    """Seconds until a daemon writes its lost entry again; `draw` is from 0 to 1."""
     return draw * daemons / REWRITES_PER_S
 
 
 def missing_for(daemons):
     """Seconds for which a daemon that a whole list lacks keeps its place.
 
-    What goes wrong without it: the store lost all entries, and each daemon takes itself
-    for the only one and opens connections to every group.
+    If the store has lost all entries each daemon would otherwise be the only one known,
+    own every group and open connections to all upstreams.
     """
-    return HEARD_WITHIN + rewrite_pause(daemons, 1.0)
+    return RETURN_KNOWN_WITHIN + rewrite_pause(daemons, 1.0)
 
 
 def may_be_gone(silent_for):
--- a/packages/policy/gypsum_policy/relays.py
+++ b/packages/policy/gypsum_policy/relays.py
@@ -82,7 +82,6 @@
 
     What goes wrong without it: the changes before `since` are missing for as long as
     the process runs, since it takes itself for caught up to `revision`. Nothing follows
-    on what is known of an earlier history of the store: what that one lost and removed
-    is in no changes.
+    on what is known of an earlier era: what the store lost is in no change.
     """
     return same_era(known, revision) and since <= known < revision
--- a/packages/policy/gypsum_policy/revisions.py
+++ b/packages/policy/gypsum_policy/revisions.py
@@ -17,6 +17,8 @@
 # to 53 bits, which leaves 13 for eras.
 NUMBER_BITS = 40
 MOST_NUMBER = (1 << NUMBER_BITS) - 1
+# Messages between daemons carry signed integers of 64 bits.
+MOST_ERA = (1 << (63 - NUMBER_BITS)) - 1
 
 
 def in_era(era, number):
@@ -42,9 +44,8 @@
 def next_token(last, era):
     """The fencing token that follows on the last one known, in an era.
 
-    The store may have lost the lease that carried the newest token, and who holds it
-    may still order under it. Those of a later era are above all that an earlier one
-    can have given out.
+    The store may have lost the lease with the newest token, whose holder may still use
+    it, so that tokens of a later era are above all those of an earlier one.
     """
     return max(last + 1, era << TOKEN_BITS)
 
--- a/packages/sessions/gypsum_sessions/daemons/following.py
+++ b/packages/sessions/gypsum_sessions/daemons/following.py
@@ -32,7 +32,7 @@
     """A feed as this daemon and its watcher know it.
 
     `known` is the revision up to which this daemon has taken it in. `state` is what the
-    watcher tells of it, None if it is not in touch with the store. `waiting` news are
+    watcher reports, None if it is not in touch with the store. `waiting` news are
     not taken in yet, `pieces` of a whole list belong to the revision `pieces_of`, and
     one was `asked_at` then. `behind_since` is None for a daemon that is not behind.
     """
@@ -47,11 +47,11 @@
     behind_since: float | None = None
     behind_told: bool = False
     ahead_since: float | None = None
-    ahead_told: bool = False
+    ahead_logged: bool = False
 
     @property
-    def vouched(self):
-        """The watcher's state, None if it is of an earlier history of the store."""
+    def confirmed(self):
+        """The watcher's state, None if it is of an earlier era than what is known."""
         if self.state is None or era_of(self.state.revision) < era_of(self.known):
             return None
         return self.state
@@ -59,7 +59,7 @@
     @property
     def behind(self):
         """Tell whether the watcher has changes that this daemon lacks."""
-        state = self.vouched
+        state = self.confirmed
         if state is None:
             return False
         if not same_era(self.known, state.revision):
@@ -128,7 +128,7 @@
         if self.link is None or self.clock() - self.heard_at > SILENT_AFTER:
             return False
         feed = self.feed(name)
-        return feed.vouched is not None and not feed.behind
+        return feed.confirmed is not None and not feed.behind
 
     def age(self, name):
         """Seconds since a watcher vouched for all that is known; None if none does."""
@@ -298,7 +298,7 @@
             return False
         watches = self.daemons.watches()
         needed = [feed for feed in self.feeds.values() if feed.lost or not watches]
-        return any(feed.vouched is None for feed in needed)
+        return any(feed.confirmed is None for feed in needed)
 
     def leave(self):
         """Follow nobody; what was passed on and not taken is forgotten."""
@@ -363,11 +363,11 @@
         now = self.clock()
         if not feed.ahead:
             feed.ahead_since = None
-            feed.ahead_told = False
+            feed.ahead_logged = False
             return
         feed.ahead_since = now if feed.ahead_since is None else feed.ahead_since
-        if now - feed.ahead_since >= BEHIND_TOLD and not feed.ahead_told:
-            feed.ahead_told = True
+        if now - feed.ahead_since >= BEHIND_TOLD and not feed.ahead_logged:
+            feed.ahead_logged = True
             self.log(PART, "ahead of watcher", **progress(name, feed))
 
 
--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -68,9 +68,9 @@
     def take_all(self, name, objects, revision):
         """A whole list came: objects by name."""
         feed = self.feeds.setdefault(name, KnownFeed())
-        # Who knows the end of a lost history may lack what stands here.
-        lasts = feed.revision and same_era(feed.revision, revision)
-        same = lasts and feed.objects == objects
+        # Followers may know changes of the earlier era that this list lacks.
+        same_history = feed.revision and same_era(feed.revision, revision)
+        same = same_history and feed.objects == objects
         feed.objects, feed.revision = dict(objects), revision
         self.touched(name)
         if same:
--- a/packages/sessions/gypsum_sessions/takeover/leaseboard.py
+++ b/packages/sessions/gypsum_sessions/takeover/leaseboard.py
@@ -62,9 +62,8 @@
     def newest(self, group, seen):
         """A lease as the store has it, or the newer one that the store has lost.
 
-        The latter at the store's revision, which a write over it has to name. What goes
-        wrong with the store's own: it returned from an older copy, nobody seems to hold
-        the lease, and a second daemon acts beside the holder, or under its token.
+        A lost one comes with the store's revision, on which the next write depends. Its
+        holder may still be at work, so its rest and its chain of takeovers count.
         """
         known = self.seen.get(group)
         if known is None or known.lease.token <= seen.token:
--- a/packages/sessions/gypsum_sessions/upstreams/roster.py
+++ b/packages/sessions/gypsum_sessions/upstreams/roster.py
@@ -94,7 +94,7 @@
             # It restarted under its entry, which is older than this incarnation.
             member = replace(member, joined=known.joined)
         if known is not None and known.leaving and returned(known, member):
-            # The copy may be older than its word that it leaves, which it gives again.
+            # The copy may be older than its report that it drains.
             member = replace(member, leaving=True)
         since = known.leaving_since if known else None
         if member.leaving and since is None:
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -37,7 +37,9 @@
     assert eras.current == 4
 
 
-@pytest.mark.parametrize("text", [None, "", "x", "-1", "1.5", "\u0663", "2"])
+@pytest.mark.parametrize(
+    "text", [None, "", "x", "-1", "1.5", "\u0663", "2", "9" * 7, "9" * 5000]
+)
 def test_an_unusable_or_earlier_era_changes_nothing_and_is_reported_once(text):
     eras, reports = tracker()
     eras.take(answer("3"))
--- a/tests/sessions/test_store_return.py
+++ b/tests/sessions/test_store_return.py
@@ -128,11 +128,11 @@
             run(random_run(seed, daemons=15))
 
 
-def test_a_watcher_in_an_earlier_era_vouches_for_nothing():
+def test_a_watcher_in_an_earlier_era_confirms_nothing():
     """Guards against resting on a watcher whose own watch hangs in a lost history."""
     old = FeedState(since=in_era(1, 90), revision=in_era(1, 99))
     feed = WatchedFeed(known=in_era(2, 3), state=old)
-    assert feed.vouched is None
+    assert feed.confirmed is None
     assert not feed.behind and feed.ahead
 
 
