Failing test: followers of a watcher whose store falls silent

What callers could see: a daemon in touch serves by an old configuration for 5.4 s, the users' bound is 5 s. Found while the incident's third hypothesis was ruled out: a watcher whose path to the store goes silent within 0.4 s of an answer confirms for five seconds after that, its longest watch and a margin; its followers notice a beat later.

--- a/tests/sessions/feedrig.py
+++ b/tests/sessions/feedrig.py
@@ -6,7 +6,13 @@
 from random import Random
 
 from gypsum_platform.feeds import Feed, Waker
-from gypsum_platform.store import Change, HistoryGone, StoredObject, StoreError
+from gypsum_platform.store import (
+    WATCH_MARGIN,
+    Change,
+    HistoryGone,
+    StoredObject,
+    StoreError,
+)
 from gypsum_policy.revisions import era_of, in_era, number_of
 from tests.sessions.rig import Rig
 
@@ -114,7 +120,8 @@
     async def watch(self, kind, since, *, wait_ms):
         """Changes since a revision, as soon as there is one."""
         wait = wait_ms / 1000
-        await self.arrive("watch", wait + 1.0)
+        asked_at = asyncio.get_running_loop().time()
+        await self.arrive("watch", wait + WATCH_MARGIN)
         self.check_history(since)
         if number_of(since) > self.store.revision:
             raise HistoryGone("no such revision", step="watch", peer="store")
@@ -128,7 +135,7 @@
             except TimeoutError:
                 break
         if self.daemon in self.store.silent:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(asked_at + wait + WATCH_MARGIN - loop.time())
             raise StoreError("silent", step="watch", peer="store")
         if self.daemon in self.store.busy:
             raise StoreError("cut off", step="watch", peer="store")
--- a/tests/sessions/test_feeds_behind.py
+++ b/tests/sessions/test_feeds_behind.py
@@ -211,6 +211,24 @@
     run(main())
 
 
+def test_followers_of_a_watcher_whose_store_falls_silent_are_in_time():
+    """Guards against a watcher that confirms for as long as its own watch may hang."""
+
+    async def main():
+        rig = FeedRig()
+        await asyncio.sleep(SETTLED)
+        rig.store.put("config", "main", {"version": 2})
+        rig.store.put("servers", "s1", {"address": "b:1"})
+        await asyncio.sleep(0.01)
+        silent = rig.watchers[0]
+        rig.store.silent.add(silent)
+        rig.store.put("config", "main", {"version": 3})
+        await asyncio.sleep(BOUND)
+        assert [name for name, _ in rig.behind() if name != silent] == []
+
+    run(main())
+
+
 def change(rig, rng):
     """Change something of the store."""
     store, number = rig.store, rng.randrange(8)
