Watches of the configuration end after two seconds

What callers could see: daemons in touch serve by an old configuration for 5.4 s, since their watcher, whose connection to the store fell silent, confirms it for five.

Cause: the longest watch and its margin, then a beat, a look and the way to the next watcher add up to more than the users' bound. Change: a feed has its own longest watch, and a watcher confirms it for that and the margin: three seconds for the configuration.

--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -30,19 +30,31 @@
 class Relay:
     """Keeps feeds, and passes their news on to those who follow.
 
-    `watches` tells whether this daemon is one that watches the store.
+    `watches` tells whether this daemon is one that watches the store. A feed is
+    confirmed for `in_touch_for` seconds after the store's last answer, or for its own
+    time in `limits`.
     """
 
     def __init__(self, *, clock, in_touch_for, watches):
         self.clock = clock
         self.watches = watches
         self.in_touch_for = in_touch_for
+        self.limits = {}
         self.feeds = {}
         self.followers = set()
         self.sending = set()
 
     # What this daemon learns of the store
 
+    def confirm_for(self, name, seconds):
+        """Confirm a feed for so long after the store's last answer."""
+        self.limits[name] = seconds
+
+    def in_touch(self, name, feed):
+        """Tell whether the store has answered for a feed lately."""
+        limit = self.limits.get(name, self.in_touch_for)
+        return bool(feed.revision) and self.clock() - feed.touched_at < limit
+
     def knows(self, name):
         """Tell whether all of a feed is kept here."""
         return name in self.feeds
@@ -145,12 +157,11 @@
 
     def current(self):
         """Feeds that are in touch with the store, and how far they are known."""
-        now = self.clock()
         return Current(
             feeds={
                 name: FeedState(since=feed.since, revision=feed.revision)
                 for name, feed in self.feeds.items()
-                if feed.revision and now - feed.touched_at < self.in_touch_for
+                if self.in_touch(name, feed)
             },
             watches=self.watches(),
         )
--- a/tests/sessions/feedrig.py
+++ b/tests/sessions/feedrig.py
@@ -5,14 +5,16 @@
 from dataclasses import replace
 from random import Random
 
-from gypsum_platform.feeds import Feed, Waker
+from gypsum_platform.feeds import Feed, Waker, longest_silence
 from gypsum_platform.store import (
     WATCH_MARGIN,
+    WATCH_MS,
     Change,
     HistoryGone,
     StoredObject,
     StoreError,
 )
+from gypsum_platform.takers import CONFIG_KIND, CONFIG_WATCH_MS
 from gypsum_policy.revisions import era_of, in_era, number_of
 from tests.sessions.rig import Rig
 
@@ -212,6 +214,7 @@
         client = VirtualClient(store=self.store, daemon=proxy.name)
         self.clients[proxy.name] = client
         self.copies[proxy.name] = {kind: Copy() for kind in KINDS}
+        proxy.relay.confirm_for(CONFIG_KIND, longest_silence(CONFIG_WATCH_MS))
         for kind, copy in self.copies[proxy.name].items():
             feed = Feed(
                 store=client,
@@ -222,6 +225,7 @@
                 waker=waker,
                 relay=proxy.relay,
                 following=proxy.following,
+                watch_ms=CONFIG_WATCH_MS if kind == CONFIG_KIND else WATCH_MS,
             )
             feed.rng = rng
             proxy.keep_running(feed.run)
--- a/tests/sessions/fleetrig.py
+++ b/tests/sessions/fleetrig.py
@@ -11,9 +11,10 @@
 from gypsum_platform.feeds import Feed, Waker
 from gypsum_platform.leases import OWN_KIND
 from gypsum_platform.registrar import Registrar
-from gypsum_platform.store import Conflict
+from gypsum_platform.store import WATCH_MS, Conflict
 from gypsum_platform.takers import (
     CONFIG_KIND,
+    CONFIG_WATCH_MS,
     UPSTREAM_GATHER,
     UPSTREAM_KIND,
     OwnTaker,
@@ -167,6 +168,7 @@
                 caught_up=proxy.board.note_known if kind == OWN_KIND else None,
                 relay=proxy.relay,
                 following=proxy.following,
+                watch_ms=CONFIG_WATCH_MS if kind == CONFIG_KIND else WATCH_MS,
             )
             proxy.keep_running(feed.run)
         registrar = Registrar(
