Keep session values while a statement that was given up may still run

Cause: SET waited only for reads that another upstream had answered first, and took their tasks' end for their end at the upstream. A connection or a link that is closed does not stop what an upstream has received.

Change: a job is orphaned once an attempt was sent and nothing will tell of its end: the connection broke or timed out, the owner was lost, or the owner says so (one more field in the answer and in the message of an end). A session with an orphaned job refuses SET, and DEALLOC and PREPARE that change a name's shape, at once, and names the way out, a new session. A single statement that outlasts its timeout is listened for a second longer, on a connection that is set aside and gives way to a new one, so that most ends are known and SET only waits. An owner's link that is lost before it reports an end orphans the job too; before, that counted as ended.

--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -68,6 +68,8 @@
     fields = {"upstreams": job.tried, "served_by": job.served_by}
     if job.owner:
         fields["owner"] = job.owner
+    if job.orphaned:
+        fields["orphaned"] = True
     if job.floor is not None:
         fields["floor"] = str(job.floor)
         fields["floor_age_ms"] = round(job.floor_age * 1000)
--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -36,8 +36,9 @@
     valid. `own_floor` is the position of the session's last commit. `last_active` is
     the time at which the last statement ended, `last_request` its id.
     `abort_unreported` is set while the caller does not know yet that the proxy rolled
-    its transaction back. `running_attempts` has a task for each read that still runs
-    after its reply, on this daemon or on an owner; the task ends with the read.
+    its transaction back. `unfinished` has the jobs of which an attempt still ran after
+    the reply, on this daemon or on an owner. `orphaned` is set once a statement was
+    sent and nothing will tell whether it still runs.
     """
 
     number: int
@@ -56,7 +57,8 @@
     last_request: str = ""
     abort_unreported: bool = False
     running: bool = False
-    running_attempts: set = field(default_factory=set)
+    unfinished: list[Job] = field(default_factory=list)
+    orphaned: bool = False
 
     async def run(self, request, statement):
         """Run one statement; returns the complete reply for the caller."""
@@ -79,6 +81,7 @@
         finally:
             self.running = False
             self.last_active = clock()
+            self.track_unfinished(job)
         self.proxy.request_log.log_answer(self, request, statement, job, reply, arrived)
         return reply
 
@@ -130,35 +133,85 @@
             case StatementKind.ROLLBACK:
                 return await self.roll_back()
             case StatementKind.SET:
-                if not await self.wait_running_attempts():
-                    return self.refuse(Refusal.BUSY, "not run, a read still runs")
-                self.values[statement.name] = statement.argument
-                if self.tx is not None:
-                    self.tx.values_set = True
+                return await self.set_value(statement)
             case StatementKind.PREPARE:
-                self.prepared[statement.name] = PreparedStatement(
-                    shape=statement.shape, writes=statement.writes
-                )
+                return await self.prepare(statement)
             case StatementKind.DEALLOCATE:
-                if self.prepared.pop(statement.name, None) is None:
-                    return self.refuse(Refusal.UNKNOWN_NAME, statement.name)
+                return await self.deallocate(statement)
             case _:
                 return self.refuse(Refusal.MALFORMED, "not a caller's statement")
+
+    async def set_value(self, statement):
+        """Run SET, once no earlier statement can run with the old value any more."""
+        if not await self.wait_unfinished():
+            return self.refuse_change()
+        self.values[statement.name] = statement.argument
+        if self.tx is not None:
+            self.tx.values_set = True
+        return Reply(state=self.state)
+
+    async def prepare(self, statement):
+        """Run PREPARE; a name changes its shape only as SET changes a value."""
+        wanted = PreparedStatement(shape=statement.shape, writes=statement.writes)
+        known = self.prepared.get(statement.name, wanted)
+        if known != wanted and not await self.wait_unfinished():
+            return self.refuse_change()
+        self.prepared[statement.name] = wanted
         return Reply(state=self.state)
 
-    async def wait_running_attempts(self):
-        """Wait for attempts that still run after their read was answered.
+    async def deallocate(self, statement):
+        """Run DEALLOC, after which the name may be prepared with another shape."""
+        if statement.name not in self.prepared:
+            return self.refuse(Refusal.UNKNOWN_NAME, statement.name)
+        if not await self.wait_unfinished():
+            return self.refuse_change()
+        del self.prepared[statement.name]
+        return Reply(state=self.state)
+
+    # Statements that may still run after their reply
+
+    def track_unfinished(self, job):
+        """Keep track of a job after its reply, for as long as an attempt runs."""
+        jobs = self.unfinished if job is None else [*self.unfinished, job]
+        self.orphaned = self.orphaned or any(item.orphaned for item in jobs)
+        self.unfinished = [item for item in jobs if item.running]
+
+    async def wait_unfinished(self):
+        """Wait for the end of attempts that still run after their reply.
 
-        Returns whether all of them have ended. Otherwise a slow upstream could run such
-        a read with the old session values after they have changed; closing its
-        connection does not prevent that if it had already received the statement.
+        Returns whether no earlier statement may run any more. Otherwise a slow upstream
+        could run one with the old session values after they have changed. Closing the
+        connection, or the link to an owner, does not prevent that if the upstream has
+        already received the statement.
         """
-        running = {task for task in self.running_attempts if not task.done()}
-        if running:
-            timeout = self.proxy.tuning.running_attempt_wait
-            _, running = await asyncio.wait(running, timeout=timeout)
-        self.running_attempts = running
-        return not running
+        if self.orphaned:
+            return False
+        try:
+            async with asyncio.timeout(self.proxy.tuning.running_attempt_wait):
+                for job in self.unfinished:
+                    await job.wait_ended()
+        except TimeoutError:
+            pass
+        self.track_unfinished(None)
+        return not self.orphaned and not self.unfinished
+
+    def refuse_change(self):
+        """Refuse to change a value or a prepared name while a statement may run.
+
+        Nothing reports the end of an orphaned statement, so only a new session helps.
+        """
+        if self.orphaned:
+            detail = "not run, a lost statement may still run; open a new session"
+            return self.refuse(Refusal.BUSY, detail)
+        tuning = self.proxy.tuning
+        last_end = max(job.deadline for job in self.unfinished)
+        left = last_end + tuning.running_attempt_wait - self.proxy.clock()
+        return Reply(
+            refusal=Refusal.BUSY,
+            detail="not run, an earlier statement still runs",
+            state=self.state,
+            retry_after_ms=max(round(left * 1000), tuning.busy_retry_after_ms),
+        )
 
     async def begin(self, request, statement, arrived):
         """Begin a transaction under the current route."""
@@ -250,8 +303,6 @@
             self.note_withdrawn(reply)
             return self.idle_reply(reply)
         reply = await access.read(job)
-        still_running = self.running_attempts | job.running_attempts
-        self.running_attempts = {task for task in still_running if not task.done()}
         self.note_withdrawn(reply)
         return self.idle_reply(reply)
 
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -31,7 +31,7 @@
     the caller has set a value inside the transaction, which the end of the transaction
     undoes. `if_led`: run it only on an owner that has proven a primary. `last_resort`:
     the other owners were tried and could not run it. `hears_ends`: the sender wants a
-    `ReadEnded` once an answered read no longer runs anywhere. `credential` is what the
+    `ReadEnded` once an answered statement no longer runs. `credential` is what the
     caller authenticated with.
     """
 
@@ -59,10 +59,12 @@
     """Complete response to one statement request.
 
     `role` tells whether the leader or a replica ran it. For up to `unfinished` seconds
-    the read may still run at another upstream that it was sent to as well; `ReadEnded`
-    follows. `queue` is the estimated queueing time in seconds if the statement was
-    refused because of it. `unable`: nothing ran, for a reason that concerns this owner
-    only, so another owner may be able to run it.
+    the statement may still run: a read at another upstream that it was sent to as well,
+    or any statement that outlasted its timeout; `ReadEnded` follows. `queue` is the
+    estimated queueing time in seconds if the statement was refused because of it.
+    `unable`: nothing ran, for a reason that concerns this owner only, so another owner
+    may be able to run it. `orphaned`: an attempt was sent to an upstream, and the owner
+    can't tell whether it still runs.
     """
 
     call: int
@@ -75,12 +77,18 @@
     unable: bool = False
     unfinished: float = 0.0
     queue: float = 0.0
+    orphaned: bool = False
 
 
 class ReadEnded(Struct, frozen=True, kw_only=True, array_like=True, tag="read ended"):
-    """A read that was answered as unfinished no longer runs anywhere."""
+    """A statement that was answered as unfinished no longer runs anywhere.
+
+    Unless it is `orphaned`: the owner gave up waiting for an upstream that may still
+    run it.
+    """
 
     call: int
+    orphaned: bool = False
 
 
 class EndTransaction(Struct, frozen=True, kw_only=True, array_like=True, tag="end"):
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -94,8 +94,9 @@
         self.clock = clock
         self.frames = None
         self.pending = {}
-        # Answered reads that may still run at the peer, by request number.
-        self.unfinished_reads = {}
+        # Futures of answered statements that may still run at the peer, by request
+        # number: True once one has ended, False if its end will not be known.
+        self.unfinished = {}
         self.last_number = 0
         self.heard_at = clock()
         self.draining = False
@@ -118,14 +119,11 @@
             self.draining = True
             self.accepts_until = self.clock() + message.opens_for
         elif isinstance(message, StatementResponse | LeaderResponse | GrantResponse):
-            if isinstance(message, StatementResponse) and message.unfinished:
-                self.unfinished_reads[message.call] = asyncio.Event()
-            fut = self.pending.pop(message.call, None)
-            if fut is not None and not fut.done():
-                fut.set_result(message)
+            self.handle_response(message)
         elif isinstance(message, ReadEnded):
-            if message.call in self.unfinished_reads:
-                self.unfinished_reads.pop(message.call).set()
+            ended = self.unfinished.get(message.call)
+            if ended is not None and not ended.done():
+                ended.set_result(not message.orphaned)
         elif isinstance(message, FeedUpdate) and self.follower is not None:
             self.follower.handle_update(message)
         elif isinstance(message, Heartbeat) and self.follower is not None:
@@ -133,9 +131,22 @@
         elif isinstance(message, ListPiece) and self.follower is not None:
             self.follower.handle_piece(message)
 
+    def handle_response(self, message):
+        """Complete the request that a response belongs to, if it is still pending."""
+        fut = self.pending.pop(message.call, None)
+        if fut is None or fut.done():
+            return
+        if isinstance(message, StatementResponse) and message.unfinished:
+            loop = asyncio.get_running_loop()
+            self.unfinished[message.call] = loop.create_future()
+        fut.set_result(message)
+
     def link_lost(self, why):
         """Record that the link is closed, and fail all pending requests."""
         self.close_reason = self.close_reason or why
+        for ended in self.unfinished.values():
+            if not ended.done():
+                ended.set_result(False)
         pending, self.pending = self.pending, {}
         for fut in pending.values():
             if not fut.done():
@@ -157,16 +168,18 @@
         """The error of a request on a closed link."""
         return PeerLost(self.close_reason, step=step, peer=self.peer, sent=sent)
 
-    async def wait_read_ended(self, call, seconds):
-        """Wait until an answered read no longer runs anywhere, or until a timeout."""
-        ended = self.unfinished_reads.get(call)
-        if ended is None:
-            return
+    async def wait_ended(self, call, seconds):
+        """Wait for the end of an answered statement; return whether it is known.
+
+        It is not if the link is lost before, or after a timeout.
+        """
         try:
             async with asyncio.timeout(seconds):
-                await ended.wait()
+                return await self.unfinished[call]
         except TimeoutError:
-            self.unfinished_reads.pop(call, None)
+            return False
+        finally:
+            del self.unfinished[call]
 
     async def timed_request(self, make, pace, *, timeout):
         """Send a request and record how long its answer took; raises PeerLost.
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -96,27 +96,26 @@
                 )
             except PeerLost as exc:
                 self.log_owner_lost(job, name, exc)
-                if exc.sent:
-                    job.may_have_run = True
-                    job.running_attempts.add(
-                        asyncio.create_task(
-                            asyncio.sleep(job.time_left(self.context.clock))
-                        )
-                    )
                 if exc.sent and not repeatable:
                     return in_doubt(exc)
                 continue
-            self.track_unfinished_read(job, link, answer)
             if not answer.unable:
                 return record_response(job, answer)
             unable += 1
         return None
 
-    def track_unfinished_read(self, job, link, answer):
-        """Record that a read may still run at its owner."""
+    def track_end(self, job, link, answer):
+        """Record what an answer says about attempts that may still run."""
+        job.orphaned = job.orphaned or answer.orphaned
         if answer.unfinished:
-            ending = link.wait_read_ended(answer.call, answer.unfinished)
-            job.running_attempts.add(asyncio.create_task(ending))
+            ending = asyncio.create_task(self.wait_end(job, link, answer))
+            job.running_attempts.add(ending)
+
+    async def wait_end(self, job, link, answer):
+        """Wait until an answered job has ended; it is orphaned if nothing tells."""
+        timeout = answer.unfinished + ANSWER_MARGIN
+        if not await link.wait_ended(answer.call, timeout):
+            job.orphaned = True
 
     def last_resort(self, name, asked_all, unable):
         """Return whether an owner must run the job even if draining or starting."""
@@ -133,27 +132,37 @@
         return self.peers.ask_order(names, count, self.spec.name, workspace)
 
     async def request(self, link, job, **fields):
-        """Send a job to one owner; `fields` of the request. Raises PeerLost."""
+        """Send a job to one owner; `fields` of the request. Raises PeerLost.
+
+        A job whose owner is lost after it was sent is orphaned: the owner may have
+        passed it on to an upstream.
+        """
         job.owner = link.peer
         left = job.time_left(self.context.clock)
-        return await link.timed_request(
-            lambda call: StatementRequest(
-                call=call,
-                request=job.request,
-                statement=job.statement,
-                route=job.route,
-                left=left,
-                values=job.values,
-                prepared=job.prepared,
-                own_floor=job.own_floor,
-                if_led=bool(self.helpers),
-                hears_ends=True,
-                credential=job.credential,
-                **fields,
-            ),
-            self.peers.pace(link.peer, self.spec.name),
-            timeout=left + ANSWER_MARGIN,
-        )
+        try:
+            answer = await link.timed_request(
+                lambda call: StatementRequest(
+                    call=call,
+                    request=job.request,
+                    statement=job.statement,
+                    route=job.route,
+                    left=left,
+                    values=job.values,
+                    prepared=job.prepared,
+                    own_floor=job.own_floor,
+                    if_led=bool(self.helpers),
+                    hears_ends=True,
+                    credential=job.credential,
+                    **fields,
+                ),
+                self.peers.pace(link.peer, self.spec.name),
+                timeout=left + ANSWER_MARGIN,
+            )
+        except PeerLost as exc:
+            job.orphaned = job.orphaned or exc.sent
+            raise
+        self.track_end(job, link, answer)
+        return answer
 
     def log_owner_lost(self, job, name, exc):
         """Log an owner that gave no answer."""
@@ -299,7 +308,7 @@
     A read may have run at an owner that has become silent since, so the detail does not
     claim that it has not.
     """
-    not_run = "" if job.may_have_run else "not run, "
+    not_run = "" if job.orphaned else "not run, "
     return Reply(
         refusal=Refusal.BUSY,
         detail=f"{not_run}no owner of the group answers",
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -171,15 +171,20 @@
                 role=str(group.role_of(job.served_by) or ""),
                 floor=job.floor,
                 floor_age=job.floor_age,
-                unfinished=job.attempts_time_left(
-                    self.proxy.clock, self.proxy.tuning.ping_timeout
-                ),
+                unfinished=self.unfinished_time(job),
                 queue=job.queue_wait,
                 unable=may_run_elsewhere(request, job, reply),
+                orphaned=job.orphaned,
             )
         )
-        if request.hears_ends and any(not task.done() for task in job.running_attempts):
-            self.proxy.spawn(self.send_read_ended(request.call, job.running_attempts))
+        if request.hears_ends and job.running:
+            self.proxy.spawn(self.send_ended(request.call, job))
+
+    def unfinished_time(self, job):
+        """Return for how many seconds attempts of a job may still run, or 0."""
+        tuning = self.proxy.tuning
+        left = job.attempts_time_left(self.proxy.clock, tuning.ping_timeout)
+        return left and left + tuning.running_attempt_wait
 
     async def refuse_withdrawn_key(self, request):
         """Refuse a caller whose key was withdrawn, which the sender does not know yet.
@@ -229,11 +234,11 @@
             return "no connection is free here"
         return ""
 
-    async def send_read_ended(self, call, tasks):
+    async def send_ended(self, call, job):
         """Report the end of attempts whose result is no longer needed."""
-        await asyncio.wait(tasks)
+        await job.wait_ended()
         if not self.closed:
-            self.frames.send(encode(ReadEnded(call=call)))
+            self.frames.send(encode(ReadEnded(call=call, orphaned=job.orphaned)))
 
     async def run_in_transaction(self, group, request, job):
         """Run a statement of a transaction, which its first statement opens."""
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -1,5 +1,6 @@
 """A caller's statement in execution, with what the request log reports of it."""
 
+import asyncio
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -7,6 +8,7 @@
 from gypsum_policy.admission import AdmissionRequest
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_sessions.catalog import Route
+from gypsum_sessions.replies import UpstreamLost, UpstreamTimeout
 from gypsum_sessions.statements import Statement
 
 
@@ -27,9 +29,10 @@
     reply. `answered` is set once the caller has its answer, so that attempts that still
     wait for admission give up. `tried` lists the upstreams asked, in order; `served_by`
     is the one that answered and `role` whether it led at that time. `owner` is the
-    daemon that the job was sent to, if not this one; `may_have_run` is set while one
-    was asked and has not answered. `queue_wait` is the queue's wait in seconds for
-    which the job was refused. `credential` is what its caller was authenticated with.
+    daemon that the job was sent to, if not this one. `orphaned` is set once an attempt
+    was sent and nothing will tell any more whether it ran, or whether it still does.
+    `queue_wait` is the queue's wait in seconds for which the job was refused.
+    `credential` is what its caller was authenticated with.
     """
 
     request: str
@@ -48,7 +51,7 @@
     floor_age: float = 0.0
     answered: bool = False
     owner: str = ""
-    may_have_run: bool = False
+    orphaned: bool = False
     queue_wait: float = 0.0
     credential: Credential = ANONYMOUS
 
@@ -66,6 +69,16 @@
             deadline=self.deadline,
         )
 
+    @property
+    def running(self):
+        """Whether attempts of which the end will be known still run."""
+        return any(not task.done() for task in self.running_attempts)
+
+    async def wait_ended(self):
+        """Wait for the end of all attempts, those included that start meanwhile."""
+        while self.running:
+            await asyncio.wait(self.running_attempts)
+
     def attempts_time_left(self, clock, least):
         """Seconds for which attempts of this daemon may still run, 0 if none runs.
 
@@ -73,9 +86,47 @@
         answered in its last moment would count as ended: its session sets a value, and
         an upstream still runs the read with the old value.
         """
-        running = any(not task.done() for task in self.running_attempts)
-        return max(self.time_left(clock), least) if running else 0.0
+        return max(self.time_left(clock), least) if self.running else 0.0
 
     def time_left(self, clock):
         """Seconds until the deadline, never negative."""
         return max(0.0, self.deadline - clock())
+
+
+async def send_statement(pooled, job, *, timeout, linger, after=None):
+    """Run a job's statement on a connection; raises UpstreamError.
+
+    A statement that outlasts its timeout is left running for `linger` seconds more,
+    with its connection set aside, so that its end becomes known.
+    """
+    work = ask_upstream(pooled.conn, job, timeout=timeout + linger, after=after)
+    asking = asyncio.create_task(work)
+    asking.add_done_callback(lambda task: task.cancelled() or task.exception())
+    await asyncio.wait({asking}, timeout=timeout)
+    if asking.done():
+        return asking.result()
+    pooled.unanswered = asking
+    job.running_attempts.add(asking)
+    raise UpstreamTimeout(
+        f"no answer in {timeout:.3f} s",
+        step=str(job.statement.kind),
+        peer=pooled.upstream,
+    )
+
+
+async def ask_upstream(conn, job, *, timeout, after=None):
+    """Run a job's statement; raises UpstreamError once it is lost or timed out.
+
+    The job is orphaned if the statement was sent and not answered: an upstream may run
+    what it has received later, even after the connection was closed.
+    """
+    try:
+        return await conn.ask(
+            job.statement, timeout=timeout, request=job.request, after=after
+        )
+    except UpstreamLost as exc:
+        job.orphaned = job.orphaned or exc.sent
+        raise
+    except (UpstreamTimeout, asyncio.CancelledError):
+        job.orphaned = True
+        raise
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -6,6 +6,7 @@
 from gypsum_policy.admission import QueueTimeout, retry_after_ms
 from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
+from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.replies import KEY_WITHDRAWN, Refusal, Reply, UpstreamError
 from gypsum_sessions.takeover.floors import later
 from gypsum_sessions.upstreams.pooled import sync_session_state
@@ -253,10 +254,11 @@
         # sent, it could run after its session's values have changed.
         return None
     started = clock()
-    reply = await pooled.conn.ask(
-        job.statement,
+    reply = await send_statement(
+        pooled,
+        job,
         timeout=max(job.time_left(clock), context.tuning.ping_timeout),
-        request=job.request,
+        linger=context.tuning.running_attempt_wait,
         after=job.floor,
     )
     if reply.ok:
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -7,6 +7,7 @@
 from gypsum_policy.admission import QueueTimeout
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
+from gypsum_sessions.execution.jobs import ask_upstream
 from gypsum_sessions.execution.reads import (
     find_floor,
     key_withdrawn_reply,
@@ -208,9 +209,7 @@
     clock = group.context.clock
     while True:
         started = clock()
-        reply = await tx.pooled.conn.ask(
-            job.statement, timeout=job.time_left(clock), request=job.request
-        )
+        reply = await ask_upstream(tx.pooled.conn, job, timeout=job.time_left(clock))
         if reply.ok:
             item = group.upstreams.get(tx.upstream)
             if item is not None:
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -4,6 +4,7 @@
 
 from gypsum_policy.admission import QueueTimeout
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
+from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.execution.reads import (
     key_withdrawn_reply,
     no_leader_reply,
@@ -84,8 +85,11 @@
         asked_at = clock()
         stall_id = group.stall.begin(asked_at)
         try:
-            reply = await pooled.conn.ask(
-                job.statement, timeout=job.time_left(clock), request=job.request
+            reply = await send_statement(
+                pooled,
+                job,
+                timeout=job.time_left(clock),
+                linger=context.tuning.running_attempt_wait,
             )
         except UpstreamError as exc:
             group.watch.recheck(item.id)
--- a/packages/sessions/gypsum_sessions/upstreams/pool.py
+++ b/packages/sessions/gypsum_sessions/upstreams/pool.py
@@ -40,6 +40,9 @@
         self.idle = []
         self.open_count = 0
         self.checked_out = set()
+        # Connections on which a statement still runs that outlasted its timeout. They
+        # are not part of `open_count` and give way to new connections.
+        self.lingering = []
         # Running mean of the time to open a connection, seconds.
         self.mean_dial_time = tuning.initial_dial_time
         self.in_use_by_workspace = Counter()
@@ -234,6 +237,7 @@
     async def open_connection(self, workspace=""):
         """Open a connection; raises UpstreamError."""
         self.open_count += 1
+        self.close_lingering(keep=self.limit - self.open_count)
         self.dials += 1
         started_at = self.clock()
         try:
@@ -302,7 +306,9 @@
         """Return a connection to the pool; one that can't be reused is closed."""
         self.checked_out.discard(pooled)
         self.in_use_by_workspace[pooled.workspace] -= 1
-        if pooled.alive and not self.closed and not pooled.in_transaction:
+        if pooled.unanswered is not None and pooled.alive and not self.closed:
+            self.set_aside(pooled)
+        elif pooled.alive and not self.closed and not pooled.in_transaction:
             pooled.idle_since = self.clock()
             self.idle.append(pooled)
         else:
@@ -310,6 +316,23 @@
             self.open_count -= 1
         self.wake_next()
 
+    def set_aside(self, pooled):
+        """Keep a connection until the statement that still runs on it has ended."""
+        self.open_count -= 1
+        self.lingering.append(pooled)
+        pooled.unanswered.add_done_callback(lambda _: self.close_aside(pooled))
+
+    def close_aside(self, pooled):
+        """Close a connection that was set aside."""
+        if pooled in self.lingering:
+            self.lingering.remove(pooled)
+        pooled.conn.close()
+
+    def close_lingering(self, *, keep):
+        """Close the oldest connections that were set aside, all but `keep`."""
+        while len(self.lingering) > max(0, keep):
+            self.close_aside(self.lingering[0])
+
     def wake_next(self):
         """Wake the first waiter that could be served."""
         for waiter in self.waiting:
@@ -345,6 +368,7 @@
     def close(self):
         """Close idle connections; those in use are closed when they are released."""
         self.closed = True
+        self.close_lingering(keep=0)
         for pooled in self.idle:
             pooled.conn.close()
         self.open_count -= len(self.idle)
--- a/packages/sessions/gypsum_sessions/upstreams/pooled.py
+++ b/packages/sessions/gypsum_sessions/upstreams/pooled.py
@@ -1,5 +1,6 @@
 """A pooled connection and the session state that the upstream keeps for it."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from gypsum_sessions.interfaces import UpstreamConn
@@ -13,7 +14,8 @@
 
     It was opened for `workspace`, empty for the daemon's own use. `dirty` says that its
     values are not known for certain; it is reset before use. `prepared` holds (shape,
-    writes) pairs; see `prepared_name`.
+    writes) pairs; see `prepared_name`. `unanswered` is a statement that outlasted its
+    timeout and still runs.
     """
 
     upstream: str
@@ -25,6 +27,7 @@
     in_transaction: bool = False
     opened_at: float = 0.0
     idle_since: float = 0.0
+    unanswered: asyncio.Task | None = None
 
     @property
     def alive(self):
--- a/tests/sessions/breaks.py
+++ b/tests/sessions/breaks.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
+from gypsum_sessions.callers.session import Session
 from gypsum_sessions.daemons import remote
 from gypsum_sessions.daemons.remote import RemoteAccess
 from gypsum_sessions.execution import reads, transactions, writes
@@ -80,6 +81,11 @@
     return transactions.aborted_reply("broken on purpose")
 
 
+async def wait_for_nothing(self):
+    """Change session values whatever may still run."""
+    return True
+
+
 def take_idle_of_any_workspace(self, values, prefer_oldest=False, workspace=None):
     """Take an idle connection whichever workspace it was opened for."""
     return ORIGINAL_TAKE_IDLE(self, values, prefer_oldest)
@@ -111,6 +117,12 @@
     ],
 }
 
+# Faults of statements that may still run after their reply.
+SLOW_BREAKS = {
+    "values change while lost statements may run": [
+        (Session, "wait_unfinished", wait_for_nothing),
+    ],
+}
 
 # Faults of the workspaces in whose name statements run.
 KEY_BREAKS = {
@@ -123,7 +135,7 @@
 @contextmanager
 def apply_break(name):
     """Apply the patches of one planted fault."""
-    changes = {**BREAKS, **OWNER_BREAKS, **KEY_BREAKS}[name]
+    changes = {**BREAKS, **OWNER_BREAKS, **KEY_BREAKS, **SLOW_BREAKS}[name]
     patches = [patch.object(*change) for change in changes]
     for item in patches:
         item.start()
--- a/tests/sessions/chaos.py
+++ b/tests/sessions/chaos.py
@@ -189,8 +189,14 @@
     "delay_promotion",
     "remove_member",
 )
-
-
+# Also upstreams that are slower than a statement's timeout, and links that are reset.
+SLOW_FAULTS = (
+    *OWNER_FAULTS,
+    "slow_member",
+    "slow_member",
+    "reset_links",
+    "reset_links",
+)
 # Also callers with keys, one of which is withdrawn and restored.
 KEY_FAULTS = (*OWNER_FAULTS, "withdraw_key", "withdraw_key")
 LASTING_KEY = "key-north"
@@ -260,6 +266,16 @@
 
         return undo
 
+    def slow_member(self):
+        """A member takes longer for a statement than most routes wait."""
+        member = self.any_member_or_leader()
+        member.work = 0.5 + self.rng.random() * 2.5
+        return lambda: setattr(member, "work", 0.02)
+
+    def reset_links(self):
+        """All links of a daemon are reset."""
+        self.rig.links.reset(self.rng.choice(self.rig.proxies).name)
+
     def replication_cut(self):
         """A replica receives no log for a while."""
         member = self.any_member()
@@ -528,6 +544,7 @@
         member.unresponsive = member.not_receiving = member.dead = False
         member.lose_answers = 0
         member.limit = 100
+        member.work = 0.02
         member.cut_from.clear()
     rig.version += 1
     for proxy in rig.proxies:
--- a/tests/sessions/test_chaos.py
+++ b/tests/sessions/test_chaos.py
@@ -4,12 +4,19 @@
 
 import pytest
 
-from tests.sessions.breaks import BREAKS, KEY_BREAKS, OWNER_BREAKS, apply_break
+from tests.sessions.breaks import (
+    BREAKS,
+    KEY_BREAKS,
+    OWNER_BREAKS,
+    SLOW_BREAKS,
+    apply_break,
+)
 from tests.sessions.chaos import (
     EXTENDED_FAULTS,
     KEY_FAULTS,
     KEYS,
     OWNER_FAULTS,
+    SLOW_FAULTS,
     broken_promises,
 )
 
@@ -45,6 +52,7 @@
     "lost commits are reported as rolled back": 9,
 }
 PLANTED_WITH_KEYS = {"connections of any workspace are taken": 0}
+PLANTED_WITH_SLOW_UPSTREAMS = {"values change while lost statements may run": 5}
 PLANTED_BY_OWNERS = {
     "lost owners' writes are sent again": 7,
     "lost owners' commits are reported as rolled back": 7,
@@ -75,6 +83,11 @@
     assert broken_promises(seed, KEY_FAULTS, keys=KEYS, **OWNERS) == []
 
 
+@pytest.mark.parametrize("seed", range(COUNT))
+def test_no_guarantee_is_violated_while_statements_outlast_their_replies(seed):
+    assert broken_promises(seed, SLOW_FAULTS, **OWNERS) == []
+
+
 @pytest.mark.parametrize("name", list(PLANTED))
 def test_planted_fault_is_detected(name):
     with apply_break(name):
@@ -93,7 +106,15 @@
         assert broken_promises(PLANTED_WITH_KEYS[name], KEY_FAULTS, keys=KEYS, **OWNERS)
 
 
+@pytest.mark.parametrize("name", list(PLANTED_WITH_SLOW_UPSTREAMS))
+def test_planted_fault_with_slow_upstreams_is_detected(name):
+    with apply_break(name):
+        seed = PLANTED_WITH_SLOW_UPSTREAMS[name]
+        assert broken_promises(seed, SLOW_FAULTS, **OWNERS)
+
+
 def test_every_planted_fault_is_tried():
+    assert set(SLOW_BREAKS) == set(PLANTED_WITH_SLOW_UPSTREAMS)
     assert set(KEY_BREAKS) == set(PLANTED_WITH_KEYS)
     assert set(BREAKS) == set(PLANTED)
     assert set(OWNER_BREAKS) == set(PLANTED_BY_OWNERS)
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -15,9 +15,10 @@
         "first opens_writing values_set if_led last_resort hears_ends credential"
     ),
     "StatementResponse": (
-        "call reply tried served_by role floor floor_age unable unfinished queue"
+        "call reply tried served_by role floor floor_age unable unfinished queue "
+        "orphaned"
     ),
-    "ReadEnded": "call",
+    "ReadEnded": "call orphaned",
     "EndTransaction": "transaction",
     "Leaving": "opens_for",
     "ServeGroup": "group",
@@ -36,6 +37,7 @@
 FIRST_VERSION = {
     "StatementRequest": 13,
     "StatementResponse": 8,
+    "ReadEnded": 1,
     "Leaving": 0,
     "Heartbeat": 1,
 }
--- a/tests/sessions/test_pool.py
+++ b/tests/sessions/test_pool.py
@@ -5,16 +5,18 @@
 import pytest
 
 from gypsum_policy.ownership import MIN_CONNECTIONS
+from gypsum_sessions.execution.jobs import Job, send_statement
 from gypsum_sessions.replies import (
     UpstreamError,
     UpstreamLost,
     UpstreamRefused,
     UpstreamTimeout,
 )
+from gypsum_sessions.statements import Statement, StatementKind
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
 from gypsum_sessions.upstreams.pool import ConnPool
 from tests.sessions.fakegroup import FakeDialer, FakeGroup
-from tests.sessions.rig import Rig
+from tests.sessions.rig import Rig, catalog
 from tests.sessions.vclock import run
 
 
@@ -300,3 +302,47 @@
             pool.release(pooled)
 
     run(main())
+
+
+async def time_out(pool):
+    """Let a statement outlast its timeout; returns its job and connection."""
+    pooled = await pool.acquire(values={}, timeout=1.0)
+    job = Job(
+        request="1",
+        statement=Statement(kind=StatementKind.READ, text="READ a"),
+        route=catalog().routes["own"],
+        arrived=0.0,
+        deadline=1.0,
+        values={},
+    )
+    with pytest.raises(UpstreamTimeout):
+        await send_statement(pooled, job, timeout=0.1, linger=1.0)
+    pool.release(pooled)
+    return job, pooled
+
+
+def test_a_connection_whose_statement_timed_out_is_kept_until_it_ends():
+    async def main():
+        pool, group, _ = make_pool()
+        group["u1"].work = 0.5
+        job, pooled = await time_out(pool)
+        assert pooled.alive and job.running and pool.open_count == 0
+        await job.wait_ended()
+        await asyncio.sleep(0)
+        assert not (pooled.alive or job.orphaned or pool.lingering)
+
+    run(main())
+
+
+def test_a_connection_whose_statement_timed_out_gives_way_to_a_new_one():
+    """Guards against a pool that silent connections fill beyond their timeout."""
+
+    async def main():
+        pool, group, _ = make_pool(limit=1)
+        group["u1"].work = 0.5
+        _, pooled = await time_out(pool)
+        fresh = await pool.acquire(values={}, timeout=0.1)
+        assert fresh.alive and not pooled.alive
+        assert pool.open_count == 1 and not pool.lingering
+
+    run(main())
