Roll back transactions that another daemon's callers left behind over a silent link

Cause: a transaction that a daemon opened at an owner ends there by a message or with the link. A link that goes silent without a close brings neither, and the owner, which sends nothing by itself, never learns of it. Each such transaction held one of the owner's two connections to the primary for good.

In virtual time: test_silent_links.py failed on the code before, the transaction stays with its connection.

Change: an owner rolls back a transaction that has been idle for a second longer than the time after which its own daemon would have.

After: both tests of the file pass, the second shows that a caller who pauses for as long as it may keeps its transaction.

--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -37,17 +37,22 @@
 PART = "owner"
 # Statements of one link that run at once: more than all slots of a group.
 MAX_REQUESTS = 300
+# An idle transaction of another daemon's caller is rolled back this much later than its
+# own daemon would do it, seconds: longer than that daemon's word takes to arrive.
+IDLE_MARGIN = 1.0
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class HeldTransaction:
     """A transaction of another daemon's caller; it runs one statement at a time.
 
-    `request` is the id of the last statement's request.
+    `request` is the id of the last statement's request, `last_active` the time at which
+    it ended.
     """
 
     transaction: Transaction
     request: str = ""
+    last_active: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     ended: bool = False
 
@@ -253,7 +258,7 @@
                 arrived=job.arrived,
             )
             held = self.transactions[request.transaction] = HeldTransaction(
-                transaction=transaction
+                transaction=transaction, last_active=self.proxy.clock()
             )
         async with held.lock:
             if held.ended or self.closed:
@@ -261,6 +266,7 @@
             held.request = request.request
             held.transaction.values_set = request.values_set
             reply = await self.run_held_statement(held, job)
+            held.last_active = self.proxy.clock()
         if held.ended:
             self.transactions.pop(request.transaction, None)
         return reply
@@ -310,6 +316,21 @@
         if not self.closed:
             self.frames.send(encode(Leaving(opens_for=opens_for)))
 
+    def expire_transactions(self, idle):
+        """Roll back transactions whose callers have paused for over `idle` seconds.
+
+        Their own daemon does so earlier. If the link has gone silent its word does not
+        arrive, and each such transaction would hold a connection for good.
+        """
+        limit = self.proxy.clock() - idle - IDLE_MARGIN
+        for number, held in list(self.transactions.items()):
+            if held.lock.locked() or held.last_active > limit:
+                continue
+            self.proxy.log(
+                PART, "transaction expired", peer=self.peer, request=held.request
+            )
+            self.spawn(self.end_transaction(number))
+
     def end_idle_transactions(self):
         """Roll back transactions that wait for their callers.
 
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -459,6 +459,8 @@
             if session.last_active < limit:
                 self.log(PART, "idle transaction rolled back", session=session.number)
                 await session.abort_transaction()
+        for handler in list(self.peer_handlers):
+            handler.expire_transactions(current.transaction_idle)
 
     def stop(self):
         """Cancel all tasks and close all connections."""
