Do not send a write whose time is over when it gets its connection

Cause: a write may wait for a connection until its deadline; it was then sent with no time left and given up in the same moment, so its outcome was unknown.

Change: with less than 5 ms left it is not sent, and its caller hears that it has not run.

Before: the new test in test_late_reads.py gets IN_DOUBT; after: BUSY, "not run".

--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -24,12 +24,18 @@
 PART = "write"
 # Seconds before a retry if the leader refused: its queue is full or it steps down.
 REFUSED_PAUSE = 0.03
+# Seconds; no upstream commits a write and answers within less.
+MIN_WRITE_TIME = 0.005
 
 
 class NotSent(Exception):
     """The statement was not sent, so it is safe to retry."""
 
 
+class OutOfTime(Exception):
+    """The write was not sent: too little of its time was left."""
+
+
 async def run_write(group, job):
     """Run a write; it is retried only while it provably has not run."""
     context, clock = group.context, group.context.clock
@@ -50,6 +56,8 @@
                 reply = await try_write(group, job, item)
         except QueueTimeout as exc:
             return overloaded_reply(job, exc.wait)
+        except OutOfTime:
+            return out_of_time_reply(context.tuning)
         except NotSent as exc:
             context.log(PART, "not sent", request=job.request, error=str(exc))
             await asyncio.sleep(REFUSED_PAUSE)
@@ -73,7 +81,11 @@
 
 
 async def try_write(group, job, item):
-    """One attempt at the leader; raises NotSent if the write was not sent."""
+    """One attempt at the leader; raises NotSent or OutOfTime if it was not sent.
+
+    A write that is sent with no time left is in doubt at once, although nobody waits
+    for it any more.
+    """
     context, clock = group.context, group.context.clock
     pooled = await acquire_verified(group, item, job)
     try:
@@ -82,6 +94,8 @@
         except UpstreamError as exc:
             group.watch.recheck(item.id)
             raise NotSent(str(exc)) from exc
+        if job.time_left(clock) < MIN_WRITE_TIME:
+            raise OutOfTime
         asked_at = clock()
         stall_id = group.stall.begin(asked_at)
         try:
@@ -121,6 +135,15 @@
     )
 
 
+def out_of_time_reply(tuning):
+    """The refusal of a write whose turn came at its deadline."""
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail="not run, its turn came too late",
+        retry_after_ms=tuning.busy_retry_after_ms,
+    )
+
+
 def unconfirmed_reply():
     """The reply for a commit that a takeover might lose."""
     return Reply(
--- a/tests/sessions/test_late_reads.py
+++ b/tests/sessions/test_late_reads.py
@@ -1,8 +1,10 @@
-"""Reads that were answered elsewhere while they waited are not sent."""
+"""Statements whose turn comes too late are not sent."""
 
 import asyncio
+from dataclasses import replace
 
 from gypsum_sessions.execution.jobs import Job
+from gypsum_sessions.replies import Refusal
 from gypsum_sessions.statements import Statement, StatementKind
 from tests.sessions.rig import Rig, catalog
 from tests.sessions.vclock import run
@@ -65,3 +67,30 @@
         assert job.attempts_time_left(lambda: 0.2, 0.3) == 0.8
 
     run(main())
+
+
+def test_a_write_that_got_its_connection_at_its_deadline_is_not_sent():
+    """Guards against a write in doubt that provably has not run.
+
+    It waits for a connection until its time is over. Sent then, it is given up in the
+    same moment, and its caller has to find out whether it has run.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        pool = rig.proxy.groups["db"].upstreams["u1"].pool
+        held = await acquire_all(pool)
+        caller = rig.caller("own")
+        route = rig.proxy.catalog.route("own")
+        rig.proxy.catalog.current.routes["own"] = replace(route, statement_timeout=0.2)
+        writing = asyncio.create_task(caller.send("WRITE a 1"))
+        await asyncio.sleep(0.199)
+        for pooled in held:
+            pool.release(pooled)
+        reply = await writing
+        assert reply.refusal is Refusal.BUSY and reply.detail.startswith("not run")
+        await asyncio.sleep(0.5)
+        assert rig.group.acknowledged == []
+
+    run(main())
