HTTP form: answer a request that waits for a primary before its caller's daemon gives up

A caller who gets it has to ask for the outcome before it may repeat.

Cause: daemons tell each other how long a request has left, as their clocks can't be compared, and a home counted that from the request's arrival. Its refusal at the deadline is therefore late by the way there, the way back and its timer, and the caller's daemon waits 50 ms only.

Change: a home refuses a job that waits for a primary 15 % of its time before the deadline, at most 0.5 s, with NO_PRIMARY and a time to come back. What has started, and what waits in the queue of a primary that answers, keeps all of its time.

--- a/packages/core/gypsum_core/admission.py
+++ b/packages/core/gypsum_core/admission.py
@@ -48,6 +48,10 @@
                 self.home.primary_queue, job.request.member, slots, service_time
             )
 
+    def lacks_primary(self):
+        """Return whether no primary is known, or the known one does not answer."""
+        return self.home.view.primary is None or self.leaderless_for() > 0.0
+
     def leaderless_for(self):
         """Return for how many seconds no primary has answered."""
         since = self.home.failover.leaderless_since
--- a/packages/core/gypsum_core/home.py
+++ b/packages/core/gypsum_core/home.py
@@ -14,20 +14,23 @@
 from gypsum_core.group import GroupView
 from gypsum_core.homereport import describe_home
 from gypsum_core.jobs import Job, Operation, OperationKind
-from gypsum_core.load import UpstreamLoad
+from gypsum_core.load import DEFAULT_RETRY_AFTER, UpstreamLoad
 from gypsum_core.readplacer import ReadPlacer
 from gypsum_core.readscheduler import ReadScheduler
 from gypsum_core.recentwriters import RecentWriters
 from gypsum_core.records import Answer, Outcome, Reason, Verb
 from gypsum_core.responses import ResponseHandler
 from gypsum_core.retry import RetryBudget
-from gypsum_core.timers import CATCH_UP, DEADLINE, POLL, ROUND
+from gypsum_core.timers import CATCH_UP, DEADLINE, PART, POLL, ROUND
 from gypsum_core.transactionmanager import TransactionManager
 from gypsum_core.transactions import Transactions
 from gypsum_core.unconfirmedwrites import UnconfirmedWrites
 from gypsum_core.watch import GroupMonitor
 
 SPARE_CONNECTIONS = 2
+# Seconds after a deadline from which a refusal is logged as late: its entry may have
+# answered already.
+LATE_REFUSAL = 0.02
 KIND_BY_ACTION = {
     actions.Probe: OperationKind.PROBE,
     actions.Fence: OperationKind.FENCE,
@@ -184,12 +187,7 @@
         if request.deadline <= self.ctx.now:
             self.refuse(job, Reason.DEADLINE, "the deadline was over on arrival")
             return
-        self.ctx.set_timer(
-            request.deadline - self.ctx.now,
-            part=DEADLINE,
-            database=self.spec.name,
-            detail=request.id,
-        )
+        self.set_deadline_timer(job, job.wait_until)
         if request.verb in (Verb.TX_QUERY, Verb.COMMIT, Verb.ROLLBACK):
             self.transaction_manager.submit(job)
         elif job.is_read:
@@ -262,11 +260,43 @@
         elif timer.detail == POLL:
             self.watch.poll()
 
+    def set_deadline_timer(self, job, at):
+        """Request a call of `on_deadline` for a job."""
+        self.ctx.set_timer(
+            at - self.ctx.now,
+            part=DEADLINE,
+            database=self.spec.name,
+            detail=job.request.id,
+        )
+
     def on_deadline(self, request_id):
-        """Answer a request at its deadline as not run, or as unknown."""
+        """Answer a job at its deadline, earlier if it still waits for a primary.
+
+        The answer of one that waits until its deadline may come after its caller's
+        daemon has given up: how long the request took to get here is not known here.
+        """
         job = self.jobs.get(request_id)
         if job is None or job.closed:
             return
+        if self.ctx.now < job.request.deadline:
+            started = job.may_have_run or job.op in self.operations
+            if started or not self.admission.lacks_primary():
+                self.set_deadline_timer(job, job.request.deadline)
+                return
+            self.refuse(
+                job,
+                Reason.NO_PRIMARY,
+                "the group has had no primary in time",
+                retry_after=DEFAULT_RETRY_AFTER,
+            )
+            return
+        late = self.ctx.now - job.request.deadline
+        if late > LATE_REFUSAL:
+            self.ctx.log(
+                PART,
+                f"{self.spec.name}: {request_id} refused {late * 1000:.0f} ms after "
+                f"its deadline, step={job.step}",
+            )
         running = job.op in self.operations
         if running:
             self.transaction_manager.abort_for(job)
--- a/packages/core/gypsum_core/jobs.py
+++ b/packages/core/gypsum_core/jobs.py
@@ -6,6 +6,11 @@
 from gypsum_core.records import Mode, Position, Reason, Request, Result, Verb
 from gypsum_core.spec import KindSpec
 
+# A job that waits for a primary is refused this share of its time before its deadline,
+# at most ANSWER_RESERVE seconds: the answer still has to reach the caller.
+ANSWER_RESERVE_SHARE = 0.15
+ANSWER_RESERVE = 0.5
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Job:
@@ -39,6 +44,12 @@
         """The key of this caller in the table of recent writers."""
         return (self.request.member, self.request.caller)
 
+    @property
+    def wait_until(self):
+        """Time until which it may wait for a primary."""
+        left = self.request.deadline - self.arrived
+        return self.request.deadline - min(ANSWER_RESERVE, ANSWER_RESERVE_SHARE * left)
+
     @property
     def is_read(self):
         """Whether a replica may serve it."""
--- a/packages/core/gypsum_core/router.py
+++ b/packages/core/gypsum_core/router.py
@@ -252,6 +252,12 @@
         pending = self.pending.get(request_id)
         if pending is None:
             return
+        due_at = pending.request.deadline + DEADLINE_GRACE
+        self.ctx.log(
+            PART,
+            f"{request_id}: no answer from {pending.target}, "
+            f"timer_late_ms={(self.ctx.now - due_at) * 1000:.0f}",
+        )
         self.refuse(
             pending.request,
             Reason.DEADLINE,
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -12,6 +12,9 @@
 from tests.fakes.world import World, get, put
 from tests.invariants import contains, is_done
 
+# Seconds that a message takes between two daemons on a machine with too much work.
+SLOW_FORWARD = 0.06
+
 
 def ask(world, host, **fields):
     """Send a request and return the list that its answer will be appended to."""
@@ -243,3 +246,24 @@
         world.run(0.5)
         places.append(read[0].served_by)
     assert "grid-u1" not in places
+
+
+def test_a_request_that_was_forwarded_slowly_is_reported_as_not_run():
+    """Guards against "unknown" for a write that its home has never started.
+
+    The group has no primary. A home counts the time that a request has left from its
+    arrival, so what the way there takes is added to it; its answer at the deadline then
+    came after the entry's own.
+    """
+    world = World(latency=SLOW_FORWARD)
+    world.run(3)
+    home = world.hosts["d0"].node.order("grid")[0]
+    for name in list(world.groups["grid"].servers):
+        world.groups["grid"].kill(name)
+    entries = [name for name in world.hosts if name != home]
+    answers = [ask(world, name, deadline=1.5, **put("c", 1, name)) for name in entries]
+    world.run(2)
+    assert [[item.outcome for item in found] for found in answers] == [
+        [Outcome.NOT_RUN],
+        [Outcome.NOT_RUN],
+    ]
