--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,6 +45,9 @@
     returns: Annotated[
         bool, cappa.Arg(long=True, help="Also restore the store from older copies.")
     ] = False
+    slow: Annotated[
+        bool, cappa.Arg(long=True, help="Also slow upstreams and many link resets.")
+    ] = False
     keep: Annotated[
         Path | None,
         cappa.Arg(long=True, help="Folder for logs; a temporary one by default."),
@@ -70,6 +73,7 @@
                 connections=options.connections,
                 planned=options.planned,
                 returns=options.returns,
+                slow=options.slow,
             )
         )
         print(started_at, *outcome.lines(), sep="\n", flush=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,8 @@
 BULK_ROUTES = 1500
 NETWORK_DELAY = 0.08
 APPLY_LAG = 1.0
+# Seconds that a statement takes at a slow upstream; the soak's routes wait for three.
+SLOW_STATEMENTS = (0.5, 1.5, 3.5, 5.0)
 # Ages of the copies from which the store is restored, seconds.
 COPY_AGES = (1.0, 5.0, 30.0)
 
@@ -222,6 +224,11 @@
         """Make a member apply changes late."""
         await self.member_fault(duration, "lag", APPLY_LAG, 0.008)
 
+    async def upstream_slow(self, duration):
+        """Make a member take longer for a statement than callers wait."""
+        work = self.rng.choice(SLOW_STATEMENTS)
+        await self.member_fault(duration, "work", work, 0.02)
+
     async def primary_cut(self, duration):
         """Cut the primary from its replicas."""
         name = await self.standins.run_command("leader")
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak.schedule import (
     FAULT_WEIGHTS,
     PLANNED_WEIGHTS,
+    SLOW_WEIGHTS,
     STORE_RETURN_WEIGHTS,
     draw_schedule,
 )
@@ -54,10 +55,12 @@
         yield f"findings: {len(self.broken) + len(self.exits)}"
 
 
-def weights_for(*, planned, returns):
+def weights_for(*, planned, returns, slow):
     """Return the faults to draw from, with their weights."""
     if planned:
         return PLANNED_WEIGHTS
+    if slow:
+        return SLOW_WEIGHTS
     return STORE_RETURN_WEIGHTS if returns else FAULT_WEIGHTS
 
 
@@ -70,16 +73,19 @@
     connections=CONNECTIONS,
     planned=False,
     returns=False,
+    slow=False,
 ):
     """Run one seed and return its outcome. Logs and settings stay in the folder.
 
     `connections` is the connection limit of an upstream: if it is low, some daemons own
     the group and the others send them their statements. `planned` draws only planned
-    work, `returns` also restores the store from older copies.
+    work, `returns` also restores the store from older copies, `slow` also makes
+    upstreams slower than statements wait.
     """
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    steps = draw_schedule(seed, seconds, weights_for(planned=planned, returns=returns))
+    weights = weights_for(planned=planned, returns=returns, slow=slow)
+    steps = draw_schedule(seed, seconds, weights)
     checker, stats = StatementChecker(), AnswerStats()
     (folder / "schedule.txt").write_text("\n".join(map(str, steps)) + "\n")
     standins = StandInProcess(on_event=checker.handle_event, connections=connections)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -47,6 +47,9 @@
 PLANNED_WEIGHTS = {"drain": 3, "drain_some": 3, "roll": 2, "hup": 1, "configure": 2}
 # All faults, and a store that is restored from older copies.
 STORE_RETURN_WEIGHTS = {**FAULT_WEIGHTS, "store_return": 15}
+# All faults, upstreams that outlast the timeout of statements, and links that are reset
+# meanwhile.
+SLOW_WEIGHTS = {**FAULT_WEIGHTS, "upstream_slow": 15, "links_reset": 10}
 # Seconds between the starts of faults; often shorter than the faults, so they overlap.
 INTERVALS = (0.05, 0.3, 0.8, 1.5, 3.0)
 DURATIONS = (0.3, 1.0, 2.5, 5.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,12 @@
 from soak.configchanges import CHANGE_TIMEOUT, ConfigChanges
 from soak.faults import FaultInjector
 from soak.run import soak
-from soak.schedule import PLANNED_WEIGHTS, STORE_RETURN_WEIGHTS, draw_schedule
+from soak.schedule import (
+    PLANNED_WEIGHTS,
+    SLOW_WEIGHTS,
+    STORE_RETURN_WEIGHTS,
+    draw_schedule,
+)
 from soak.tcpproxy import TcpProxy
 from soak.workspaces import WORKSPACES, workspace_of
 from tests.guarantees import AckedWrite, SentRead
@@ -259,7 +264,7 @@
     assert draw_schedule(7, 60.0) == draw_schedule(7, 60.0) != draw_schedule(8, 60.0)
     assert all(
         hasattr(FaultInjector, name)
-        for name in {**STORE_RETURN_WEIGHTS, **PLANNED_WEIGHTS}
+        for name in {**STORE_RETURN_WEIGHTS, **PLANNED_WEIGHTS, **SLOW_WEIGHTS}
     )
     assert {step.trouble for step in draw_schedule(7, 60.0, PLANNED_WEIGHTS)} <= set(
         PLANNED_WEIGHTS
