--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -80,8 +80,8 @@
     hedge_min_delay: float = 0.25
     # Attempts that still run after their reply are waited for this long before session
     # values change: the statement timeout of most routes is one second. If one still
-    # runs, the values are not changed. A statement that outlasts its timeout is listened
-    # for this much longer.
+    # runs, the values are not changed. A statement that outlasts its timeout may be
+    # answered for this much longer.
     running_attempt_wait: float = 1.0
     # Floors older than the largest allowed age are never needed.
     floor_retention: float = 30.0
