Tests: owners that leave, one test for one and several daemons, a short soak with slow upstreams

An owner that announces that it leaves and ends was missing among the ways in which an owner is lost with a statement. Two tests that stood twice, for one daemon and for an owner, are one with a parameter.

--- a/tests/sessions/test_orphaned_statements.py
+++ b/tests/sessions/test_orphaned_statements.py
@@ -59,6 +59,16 @@
         """Do nothing: these tests do not check how recent reads are."""
 
 
+async def make_rig(daemons, database="own"):
+    """One daemon, or several of which some own the group; returns a rig and a caller.
+
+    The caller is at a daemon that owns nothing, if there is one.
+    """
+    rig = await owners_rig() if daemons > 1 else Rig()
+    await rig.settle()
+    return rig, rig.caller(database, rig.others()[0] if daemons > 1 else None)
+
+
 def observe(rig):
     """Observe the statements that the rig's upstreams run."""
     rig.group.observer = ValuesObserver()
@@ -131,7 +141,20 @@
                 conn.close()
 
 
-LOSSES = {"reset": reset, "cut": cut, "frozen": freeze, "killed": kill}
+def leave(rig, owner):
+    """End the owner's process after it has announced that it leaves."""
+    for handler in list(rig.links.proxies[owner].peer_handlers):
+        handler.send_leaving()
+    kill(rig, owner)
+
+
+LOSSES = {
+    "reset": reset,
+    "cut": cut,
+    "frozen": freeze,
+    "killed": kill,
+    "leaving": leave,
+}
 
 
 @pytest.mark.parametrize("loss", LOSSES)
@@ -156,32 +179,16 @@
     run(main())
 
 
+@pytest.mark.parametrize("daemons", [1, 5])
 @pytest.mark.parametrize("kind", STATEMENT)
-def test_values_do_not_change_after_a_statement_that_outlasted_its_timeout(kind):
-    """Guards against the same without a second daemon: the upstream is slow."""
-
-    async def main():
-        rig = Rig()
-        await rig.settle()
-        observer = observe(rig)
-        caller = rig.caller("own")
-        await send_all(caller, OPENING[kind])
-        slow_down(rig, STALLED_STATEMENT)
-        assert not (await caller.send(STATEMENT[kind])).ok
-        await end_transaction(caller)
-        await set_value(caller, observer)
-        await asyncio.sleep(ALL_ENDED)
-        assert observer.ran and observer.wrong == []
+def test_values_do_not_change_after_a_statement_that_outlasted_its_timeout(
+    kind, daemons
+):
+    """Guards against the same at a slow upstream, on one daemon or at an owner."""
 
-    run(main())
-
-
-@pytest.mark.parametrize("kind", STATEMENT)
-def test_the_same_holds_at_an_owner_whose_upstream_is_slow(kind):
     async def main():
-        rig = await owners_rig()
+        rig, caller = await make_rig(daemons)
         observer = observe(rig)
-        caller = rig.caller("own", rig.others()[0])
         await send_all(caller, OPENING[kind])
         slow_down(rig, STALLED_STATEMENT)
         assert not (await caller.send(STATEMENT[kind])).ok
@@ -202,12 +209,10 @@
     """
 
     async def main():
-        rig = await owners_rig() if daemons > 1 else Rig()
-        await rig.settle()
+        rig, caller = await make_rig(daemons)
         observer = observe(rig)
         for member in rig.group.replicas():
             member.work = STALLED_STATEMENT
-        caller = rig.caller("own", rig.others()[0] if daemons > 1 else None)
         assert (await caller.send("READ a")).ok
         await asyncio.sleep(1.1)
         await set_value(caller, observer)
@@ -263,11 +268,9 @@
     """A statement is listened for beyond its timeout, so that SET need not fail."""
 
     async def main():
-        rig = await owners_rig() if daemons > 1 else Rig()
-        await rig.settle()
+        rig, caller = await make_rig(daemons, "primary")
         observer = observe(rig)
         slow_down(rig, JUST_TOO_SLOW)
-        caller = rig.caller("primary", rig.others()[0] if daemons > 1 else None)
         began = rig.loop.time()
         assert not (await caller.send(STATEMENT[kind])).ok
         assert rig.loop.time() - began < JUST_TOO_SLOW
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -295,6 +295,23 @@
     assert outcome.statements > 0
 
 
+@pytest.mark.xdist_group("platform processes")
+def test_a_short_run_with_slow_upstreams_has_no_findings(tmp_path):
+    """Three of five daemons own the group; statements run on after their replies."""
+    outcome = asyncio.run(
+        soak(
+            seed=SEED,
+            seconds=SECONDS,
+            daemons=5,
+            folder=tmp_path,
+            connections=9,
+            slow=True,
+        )
+    )
+    assert outcome.broken == [] and outcome.exits == []
+    assert any(step.trouble == "upstream_slow" for step in outcome.steps)
+
+
 @pytest.mark.xdist_group("platform processes")
 def test_a_short_run_with_a_restored_store_has_no_findings(tmp_path):
     outcome = asyncio.run(
