--- a/tests/sessions/test_orphaned_statements.py
+++ b/tests/sessions/test_orphaned_statements.py
@@ -282,6 +282,21 @@
     run(main())
 
 
+def test_the_log_line_of_a_lost_statement_says_that_it_may_still_run():
+    async def main():
+        rig = await owners_rig()
+        caller = rig.caller("own", rig.others()[0])
+        await lose_owner(rig, caller, "write", reset)
+        refused = [
+            fields
+            for _, part, event, fields in rig.lines
+            if (part, event) == ("request", "refused")
+        ]
+        assert [fields["orphaned"] for fields in refused] == [True]
+
+    run(main())
+
+
 def test_a_statement_that_never_left_keeps_no_value_from_changing():
     async def main():
         rig = await owners_rig()
