Jobs can be abandoned when their caller has left

Cause: work of callers who leave waits on, takes a slot when its turn comes, and nobody reads the answer. Job.abandon() ends the waits for admission at once; nothing is sent afterwards, and what was sent is counted to its end (maybe_run says whether an attempt may have run, so that 'not run' stays true).

--- a/packages/sessions/gypsum_sessions/execution/admission.py
+++ b/packages/sessions/gypsum_sessions/execution/admission.py
@@ -5,6 +5,10 @@
 from gypsum_policy.admission import QueueTimeout, WorkQueue
 
 
+class JobAbandoned(Exception):
+    """The caller has left before the statement was sent."""
+
+
 class QueuedStatement:
     """A statement's place in the queue; `async with` waits for it and holds it.
 
@@ -12,20 +16,40 @@
     all see the same upstream idle and all go there.
     """
 
-    def __init__(self, *, admission, claim):
+    def __init__(self, *, admission, job):
         self.admission = admission
-        self.claim = claim
-        self.ticket = admission.take_ticket(claim)
+        self.job = job
+        self.claim = job.admission_request()
+        self.ticket = admission.take_ticket(self.claim)
         self.started_at = admission.clock()
         self.released = False
 
     async def __aenter__(self):
-        """Wait until admitted; raises QueueTimeout if it would come too late."""
+        """Wait until admitted.
+
+        Raises QueueTimeout if it would come too late, JobAbandoned if the caller leaves
+        meanwhile.
+        """
+        if self.job.abandoned:
+            self.release()
+            raise JobAbandoned
         if self.ticket is not None:
-            await self.admission.wait(self.ticket, self.claim.deadline)
+            await self.wait_admitted()
             self.ticket = None
         self.started_at = self.admission.clock()
 
+    async def wait_admitted(self):
+        """Wait for the ticket's turn, or until the job is abandoned."""
+        self.job.withdrawals.add(self.withdraw)
+        try:
+            await self.admission.wait(self.ticket, self.claim.deadline)
+        finally:
+            self.job.withdrawals.discard(self.withdraw)
+
+    def withdraw(self):
+        """Leave the queue: the job was abandoned."""
+        self.admission.withdraw(self.ticket)
+
     async def __aexit__(self, kind, exc, trace):
         """Release the place when the statement ends."""
         self.release(answered=exc is None)
@@ -65,9 +89,9 @@
         self.clock = clock
         self.futures = {}
 
-    def enqueue(self, claim):
-        """A place for a statement; raises QueueTimeout if it would come too late."""
-        return QueuedStatement(admission=self, claim=claim)
+    def enqueue(self, job):
+        """A place for a job's statement; raises QueueTimeout if it comes too late."""
+        return QueuedStatement(admission=self, job=job)
 
     def unqueued(self):
         """A place for a statement that must not wait."""
@@ -101,6 +125,11 @@
         finally:
             self.futures.pop(ticket, None)
 
+    def withdraw(self, ticket):
+        """End the wait of a statement whose caller has left."""
+        self.queue.withdraw(ticket)
+        self.resolve(ticket, JobAbandoned())
+
     def admit_waiting(self):
         """Admit statements that may start and refuse those that would be too late."""
         now = self.clock()
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -32,7 +32,9 @@
     daemon that the job was sent to, if not this one. `orphaned` is set once an attempt
     was sent and nothing will tell any more whether it ran, or whether it still does.
     `queue_wait` is the queue's wait in seconds for which the job was refused.
-    `credential` is what its caller was authenticated with.
+    `credential` is what its caller was authenticated with. `maybe_run` counts attempts
+    that were sent to an upstream which did not report them as not run. `abandoned` is
+    set once the caller has left; `withdrawals` end the job's waits for admission then.
     """
 
     request: str
@@ -54,6 +56,9 @@
     orphaned: bool = False
     queue_wait: float = 0.0
     credential: Credential = ANONYMOUS
+    maybe_run: int = 0
+    abandoned: bool = False
+    withdrawals: set = field(default_factory=set)
 
     @property
     def workspace(self):
@@ -69,6 +74,17 @@
             deadline=self.deadline,
         )
 
+    def abandon(self):
+        """Give up the job because its caller has left; safe to call at any time.
+
+        Attempts that wait for admission leave their queues at once and are never sent.
+        What was sent runs to its end and is accounted for. A transaction is not ended
+        here: its owner rolls it back.
+        """
+        self.abandoned = True
+        for withdraw in list(self.withdrawals):
+            withdraw()
+
     @property
     def running(self):
         """Whether attempts of which the end will be known still run."""
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -6,8 +6,15 @@
 from gypsum_policy.admission import QueueTimeout, retry_after_ms
 from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
+from gypsum_sessions.execution.admission import JobAbandoned
 from gypsum_sessions.execution.jobs import send_statement
-from gypsum_sessions.replies import KEY_WITHDRAWN, Refusal, Reply, UpstreamError
+from gypsum_sessions.replies import (
+    KEY_WITHDRAWN,
+    NOT_RUN,
+    Refusal,
+    Reply,
+    UpstreamError,
+)
 from gypsum_sessions.takeover.floors import later
 from gypsum_sessions.upstreams.pooled import sync_session_state
 
@@ -71,6 +78,8 @@
         if attempt is not None and attempt.final:
             job.served_by = attempt.upstream
             return attempt.reply
+        if job.abandoned:
+            return abandoned_reply(job)
         if attempt is not None and attempt.wait is not None:
             return overloaded_reply(job, attempt.wait)
         await asyncio.sleep(ROUND_PAUSE)
@@ -110,7 +119,7 @@
             if last.final:
                 detach_attempts(group, job, running)
                 return last
-        if job.time_left(group.context.clock) <= 0:
+        if job.abandoned or job.time_left(group.context.clock) <= 0:
             break
     detach_attempts(group, job, running)
     return last
@@ -157,7 +166,7 @@
         return set()
     job.tried.append(upstream)
     try:
-        place = item.admission.enqueue(job.admission_request())
+        place = item.admission.enqueue(job)
     except QueueTimeout as exc:
         return {asyncio.create_task(rejected_attempt(item, exc))}
     task = asyncio.create_task(attempt_read(group, job, item, place))
@@ -201,6 +210,8 @@
             return await send_attempt(group, job, item)
     except QueueTimeout as exc:
         return await rejected_attempt(item, exc)
+    except JobAbandoned:
+        return Attempt(upstream=item.id, reply=None, detail="the caller has left")
 
 
 async def send_attempt(group, job, item):
@@ -249,11 +260,12 @@
         timeout=context.tuning.command_timeout,
         prepared_limit=context.tuning.prepared_limit,
     )
-    if job.answered:
+    if job.answered or job.abandoned:
         # Answered elsewhere while this attempt waited for its connection. If it were
         # sent, it could run after its session's values have changed.
         return None
     started = clock()
+    job.maybe_run += 1
     reply = await send_statement(
         pooled,
         job,
@@ -263,6 +275,8 @@
     )
     if reply.ok:
         item.record_answer(clock() - started, reply.position, clock(), context.tuning)
+    if reply.refusal in NOT_RUN:
+        job.maybe_run -= 1
     record_refusal(context, item, pooled, reply)
     return reply
 
@@ -287,6 +301,12 @@
     )
 
 
+def abandoned_reply(job):
+    """The reply to a job whose caller has left; nobody reads it."""
+    not_run = "" if job.maybe_run else "not run, "
+    return Reply(refusal=Refusal.BUSY, detail=f"{not_run}the caller has left")
+
+
 def key_withdrawn_reply():
     """The refusal of work whose caller's key was withdrawn while it waited."""
     return Reply(refusal=Refusal.UNKNOWN_KEY, detail=f"not run, {KEY_WITHDRAWN}")
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -6,9 +6,11 @@
 
 from gypsum_policy.admission import QueueTimeout
 from gypsum_sessions.catalog import Route
+from gypsum_sessions.execution.admission import JobAbandoned
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import ask_upstream
 from gypsum_sessions.execution.reads import (
+    abandoned_reply,
     find_floor,
     key_withdrawn_reply,
     no_leader_reply,
@@ -83,6 +85,8 @@
             refused = await opened(group, tx, job)
         except QueueTimeout as exc:
             return overloaded_reply(job, exc.wait)
+        except JobAbandoned:
+            return abandoned_reply(job)
         except KeyWithdrawn:
             return key_withdrawn_reply()
         if refused is None or job.time_left(group.context.clock) <= 0:
@@ -130,11 +134,11 @@
 async def begin_at(group, tx, job, item, statement, after=None):
     """Open the transaction at one upstream once admitted; return whether it is open.
 
-    Raises QueueTimeout. Without admission, bursts of transactions would hold all
+    Raises QueueTimeout or JobAbandoned. Without admission, bursts of transactions would hold all
     connections while statements of higher priority wait.
     """
     job.tried.append(item.id)
-    async with item.admission.enqueue(job.admission_request()):
+    async with item.admission.enqueue(job):
         if not group.context.catalog.is_valid(job.credential):
             raise KeyWithdrawn
         return await send_begin(group, tx, job, item, statement, after)
@@ -176,6 +180,9 @@
         refused = await open_at_upstream(group, tx, job)
         if refused is not None:
             return refused
+    if job.abandoned:
+        await close(group, tx)
+        return aborted_reply("the caller has left")
     job.tried, job.served_by = [tx.upstream], tx.upstream
     tx.wrote = tx.wrote or job.statement.writes
     try:
@@ -241,6 +248,9 @@
     if tx.wrote and not await can_confirm(group, tx.upstream, timeout=timeout):
         await close(group, tx)
         return aborted_reply("no replica can be asked")
+    if job.abandoned:
+        await close(group, tx)
+        return aborted_reply("the caller has left")
     asked_at = group.context.clock()
     stall_id = group.stall.begin(asked_at) if tx.wrote else 0
     try:
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from gypsum_policy.admission import QueueTimeout
+from gypsum_sessions.execution.admission import JobAbandoned
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.execution.reads import (
+    abandoned_reply,
     key_withdrawn_reply,
     no_leader_reply,
     overloaded_reply,
@@ -41,7 +43,7 @@
     context, clock = group.context, group.context.clock
     wait_until = clock() + job.time_left(clock) * context.tuning.leader_wait_share
     last = None
-    while clock() < wait_until:
+    while clock() < wait_until and not job.abandoned:
         item = await group.wait_writable(wait_until - clock())
         if item is None:
             break
@@ -50,12 +52,14 @@
             return cannot_confirm_reply(context.tuning)
         job.tried.append(item.id)
         try:
-            async with item.admission.enqueue(job.admission_request()):
+            async with item.admission.enqueue(job):
                 if not context.catalog.is_valid(job.credential):
                     return key_withdrawn_reply()
                 reply = await try_write(group, job, item)
         except QueueTimeout as exc:
             return overloaded_reply(job, exc.wait)
+        except JobAbandoned:
+            return abandoned_reply(job)
         except OutOfTime:
             return out_of_time_reply(context.tuning)
         except NotSent as exc:
@@ -71,6 +75,8 @@
         else:
             group.watch.recheck(item.id)
         await asyncio.sleep(REFUSED_PAUSE)
+    if job.abandoned:
+        return abandoned_reply(job)
     if last is None:
         return no_leader_reply(context.tuning)
     return Reply(
@@ -81,7 +87,7 @@
 
 
 async def try_write(group, job, item):
-    """One attempt at the leader; raises NotSent or OutOfTime if it was not sent.
+    """One attempt; raises NotSent, OutOfTime or JobAbandoned if it was not sent.
 
     A write that is sent with no time left is in doubt at once, although nobody waits
     for it any more.
@@ -94,6 +100,8 @@
         except UpstreamError as exc:
             group.watch.recheck(item.id)
             raise NotSent(str(exc)) from exc
+        if job.abandoned:
+            raise JobAbandoned
         if job.time_left(clock) < MIN_WRITE_TIME:
             raise OutOfTime
         asked_at = clock()
