--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -134,8 +134,8 @@
 async def begin_at(group, tx, job, item, statement, after=None):
     """Open the transaction at one upstream once admitted; return whether it is open.
 
-    Raises QueueTimeout or JobAbandoned. Without admission, bursts of transactions would hold all
-    connections while statements of higher priority wait.
+    Raises QueueTimeout or JobAbandoned. Without admission, bursts of transactions would
+    hold all connections while statements of higher priority wait.
     """
     job.tried.append(item.id)
     async with item.admission.enqueue(job):
