--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -8,11 +8,17 @@
 those that cannot be answered at all early enough for their callers to retry.
 """
 
+from collections import Counter
+from collections.abc import Hashable
 from dataclasses import dataclass
+from enum import StrEnum
 from itertools import count
 
 from xxhash import xxh32_intdigest
 
+from gypsum_policy.concurrency import ConcurrencyLimit
+from gypsum_policy.forecast import ArrivalRates, ForecastCheck, Pace, ServiceTimes
+
 # Statements that all owners together have at an upstream for each of its slots. One
 # runs; the others keep the slot busy during network round trips and where the owners'
 # shares are uneven. With four, the last one waits for three statements to finish.
@@ -24,10 +30,18 @@
 MIN_RETRY_MS = 30
 # Retry delays are spread over this fraction of the expected wait.
 RETRY_JITTER = 0.5
-# Weights of the newest sample in the moving averages of the service time and of the
-# interval between completions.
-SERVICE_TIME_WEIGHT = 0.1
-INTERVAL_WEIGHT = 0.2
+# A statement that waits is refused early only if its forecast wait exceeds its time by
+# this factor for this many seconds. Forecasts vary, most after a start or a stall, and
+# nearly all that were admitted are served in time.
+REJUDGE_TOLERANCE = 1.25
+LATE_FOR = 0.15
+# Work of lower priorities that starts while a higher one waits: one part in this many.
+# Without it, a long overload of one priority would refuse all callers of the others.
+LOWER_PRIORITY_PART = 8
+# Seconds without a start that say more than the pace: the upstream may be silent.
+SILENCE = 0.25
+# Part of the pace that late statements are assumed to get in any overload.
+LEAST_LATE_SHARE = 0.1
 
 
 def retry_after_ms(wait, request_id):
@@ -42,50 +56,125 @@
 
 
 def concurrency_limit(slots, owners):
-    """Statements that each owner may have at an upstream at once."""
+    """Statements that each owner may have at an upstream at once, to begin with."""
     return 1 + -(-OUTSTANDING_PER_SLOT * slots // max(1, owners))
 
 
+def least_limit(slots, owners):
+    """Statements that each owner may have at an upstream however slow it is.
+
+    Two for each slot over all owners: one that runs and the next, on its way.
+    """
+    return -(-2 * slots // max(1, owners))
+
+
+def queue_goal(slots, owners):
+    """How many of each owner's statements may wait at an upstream: one for each slot.
+
+    They keep the slots busy during round trips and wait about as long as they run.
+    """
+    return max(1.0, slots / max(1, owners))
+
+
+def greatest_limit(slots, connections):
+    """Statements that an owner may have at an upstream that no other owner uses."""
+    return min(OUTSTANDING_PER_SLOT * slots, connections)
+
+
+class RefusalCause(StrEnum):
+    """Why a statement was refused before it was sent."""
+
+    QUEUE_TOO_LONG = "queue_too_long"
+    TOO_LITTLE_TIME = "too_little_time"
+    FORECAST_CHANGED = "forecast_changed"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AdmissionRequest:
     """A statement to be admitted; times in seconds on one clock.
 
     A lower `priority` number goes first. An answer after `target_time` misses the
-    route's latency target, one after `deadline` is useless to the caller.
+    route's latency target, one after `deadline` is useless to the caller. Statements of
+    one `kind` take about the same time.
     """
 
     priority: int
     target_time: float
     deadline: float
+    kind: Hashable = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingStatement:
+    """A statement in the queue.
+
+    Its forecast is the uncorrected wait expected on arrival; None if it was expected to
+    miss its latency target.
+    """
+
+    request: AdmissionRequest
+    since: float
+    forecast: float | None
 
 
 class QueueTimeout(Exception):
-    """A statement can't be answered in time; in `wait` seconds the queue has room."""
+    """A statement can't be answered in time; in `wait` seconds the queue has room.
+
+    `forecast` is the time until its own answer, `queued` and `limit` are the length of
+    the queue and its concurrency limit.
+    """
 
-    def __init__(self, wait):
+    def __init__(self, wait, *, cause, forecast=0.0, queued=0, limit=0):
         super().__init__(f"the queue takes {wait:.3f} s")
         self.wait = wait
+        self.cause = cause
+        self.forecast = forecast
+        self.queued = queued
+        self.limit = limit
 
 
 class WorkQueue:
     """One owner's statements for one upstream, running and waiting.
 
-    `mean_service_time` is the mean time in seconds from a statement's start to its
-    answer. `completion_interval` is the mean time between two completions while others
-    wait: it gives the queue's speed whatever the bottleneck is, slots, connections or
-    other owners.
+    `times` are the seconds from a statement's start to its end, which also include the
+    wait for a connection and for a commit's confirmation. `answer_times` are those of
+    the upstream alone. `refusals` counts refused statements by cause.
     """
 
     def __init__(self, *, limit, mean_service_time):
-        self.limit = limit
-        self.mean_service_time = mean_service_time
-        self.completion_interval = mean_service_time / limit
-        self.finished_at = None
+        self.concurrency = ConcurrencyLimit(share=limit)
+        self.times = ServiceTimes(mean=mean_service_time)
+        self.answer_times = ServiceTimes(mean=mean_service_time)
+        self.pace = Pace()
+        self.check = ForecastCheck()
+        self.arrivals = ArrivalRates()
+        self.refusals = Counter()
         self.running = 0
         self.waiting = {}
+        self.late_since = {}
         self.backlogged_since = None
         self.ticket_numbers = count()
         self.reductions = []
+        self.passed_over = 0.0
+
+    @property
+    def limit(self):
+        """The concurrency limit, not lowered by recent rejections."""
+        return self.concurrency.current
+
+    @property
+    def mean_service_time(self):
+        """Mean seconds from a statement's start to its end."""
+        return self.times.mean
+
+    @mean_service_time.setter
+    def mean_service_time(self, seconds):
+        self.times.mean = seconds
+
+    @property
+    def completion_interval(self):
+        """Mean seconds between the starts of two waiting statements."""
+        return self.times.mean / self.pace.estimate(self.pace.updated_at, 0.0)
 
     def limit_at(self, now):
         """The concurrency limit, lowered by the upstream's recent rejections."""
@@ -96,6 +185,16 @@
         """Lower the limit for a while: the upstream's queue was full."""
         if len(self.reductions) < self.limit - 1:
             self.reductions.append(now + LIMIT_REDUCED_FOR)
+        self.concurrency.record_rejection(now, self.answer_times.mean)
+
+    def record_answer(self, kind, seconds):
+        """Adapt the limit to the time of an answer of the upstream alone."""
+        self.answer_times.record(kind, seconds)
+        self.concurrency.record_answer(
+            self.answer_times.slowdown, queued=bool(self.waiting)
+        )
+
+    # Admission
 
     def admit(self, request, now):
         """Return a ticket for a statement that has to wait, None for one that starts.
@@ -103,75 +202,247 @@
         Raises QueueTimeout for one that would not be answered in time.
         """
         if self.has_room(now):
+            if not self.has_time(request, now):
+                raise self.refusal(request, now, RefusalCause.TOO_LITTLE_TIME, 0.0)
             self.running += 1
+            self.record_arrival(request, now)
             return None
-        wait = self.expected_wait(request, now)
-        if now + wait + self.mean_service_time > request.deadline:
-            raise QueueTimeout(self.expected_wait(None, now))
-        ticket = next(self.ticket_numbers)
         if not self.waiting:
             self.backlogged_since = now
-        self.waiting[ticket] = request
+            self.pace.begin(now, self.running)
+        wait = self.expected_wait(request, now)
+        on_target = self.reaches_target(request, wait, now)
+        if now + wait + self.times.expected(request.kind) > request.deadline:
+            raise self.refusal(request, now, RefusalCause.QUEUE_TOO_LONG, wait)
+        ticket = next(self.ticket_numbers)
+        self.waiting[ticket] = WaitingStatement(
+            request=request,
+            since=now,
+            forecast=wait / self.check.correction if on_target else None,
+        )
+        self.record_arrival(request, now)
         return ticket
 
+    def record_arrival(self, request, now):
+        """Count a statement that goes before late ones."""
+        if self.misses_target(request, now):
+            return
+        work = self.times.expected(request.kind)
+        self.arrivals.record(request.priority, work, now)
+
+    def has_time(self, request, now):
+        """Return whether an answer may arrive in time if a statement starts now.
+
+        One always may start when none runs: the upstream may be faster than it was.
+        """
+        if not self.running:
+            return True
+        return now + self.answer_times.least(request.kind) <= request.deadline
+
+    def refusal(self, request, now, cause, wait):
+        """The QueueTimeout of a statement; it counts the refusal."""
+        self.refusals[cause] += 1
+        return QueueTimeout(
+            self.time_to_room(request, now),
+            cause=cause,
+            forecast=wait + self.times.expected(request.kind),
+            queued=len(self.waiting),
+            limit=self.limit_at(now),
+        )
+
+    def time_to_room(self, request, now):
+        """Seconds until all that wait at its priority or a higher one have started."""
+        work = sum(
+            self.work(item)
+            for item in self.waiting.values()
+            if item.request.priority <= request.priority
+        )
+        return self.wait_for(work, now)
+
     def start_unqueued(self):
         """Start a statement that must not wait since its transaction is open."""
         self.running += 1
 
-    def finish(self, now, seconds=None):
+    def finish(self, now, seconds=None, kind=""):
         """Record the end of a statement; `seconds` is its time if it was answered."""
         self.running -= 1
         if seconds is not None:
-            self.mean_service_time += SERVICE_TIME_WEIGHT * (
-                seconds - self.mean_service_time
-            )
-        if self.finished_at is not None and self.waiting:
-            self.completion_interval += INTERVAL_WEIGHT * (
-                now - self.finished_at - self.completion_interval
-            )
-        self.finished_at = now if self.waiting else None
+            self.times.record(kind, seconds)
 
     def withdraw(self, ticket):
         """Remove a waiting statement."""
         self.waiting.pop(ticket, None)
+        self.late_since.pop(ticket, None)
 
     def start_next(self, now, among):
         """Start the next of the tickets in `among` and return it; None if none may."""
-        startable = [ticket for ticket in self.waiting if ticket in among]
-        if not startable or self.running >= self.limit_at(now):
+        if self.running >= self.limit_at(now):
             return None
-        ticket = min(startable, key=lambda item: self.sort_key(item, now))
-        del self.waiting[ticket]
+        startable = [
+            ticket
+            for ticket in self.waiting
+            if ticket in among and not self.is_too_late(ticket, now)
+        ]
+        if not startable:
+            return None
+        ticket = self.next_ticket(startable, now)
+        item = self.waiting.pop(ticket)
+        self.late_since.pop(ticket, None)
+        self.pace.record_start(self.work(item), now)
+        if item.forecast is not None:
+            self.check.record(item.forecast, now - item.since)
         self.running += 1
         return ticket
 
+    def is_too_late(self, ticket, now):
+        """Return whether a statement that started now would end after its deadline."""
+        request = self.waiting[ticket].request
+        if not self.running:
+            return now >= request.deadline
+        return now + self.times.expected(request.kind) > request.deadline
+
+    def next_ticket(self, startable, now):
+        """The first in order, or now and then the first of a lower priority."""
+        first = min(startable, key=lambda ticket: self.sort_key(ticket, now))
+        highest = self.waiting[first].request.priority
+        lower = [
+            ticket
+            for ticket in startable
+            if self.waiting[ticket].request.priority > highest
+        ]
+        if not lower:
+            self.passed_over = 0.0
+            return first
+        other = min(lower, key=lambda ticket: self.sort_key(ticket, now)[1:])
+        due = (LOWER_PRIORITY_PART - 1) * self.work(self.waiting[other])
+        if self.passed_over < due:
+            self.passed_over += self.work(self.waiting[first])
+            return first
+        self.passed_over = 0.0
+        return other
+
     def sort_key(self, ticket, now):
         """Order of waiting statements: priority, still on target, earliest target."""
-        request = self.waiting[ticket]
-        misses_target = now + self.mean_service_time > request.target_time
-        return (request.priority, misses_target, request.target_time, ticket)
+        return (*self.rank(self.waiting[ticket].request, now), ticket)
 
-    def timed_out(self, now):
-        """Tickets of waiting statements that can't be answered by their deadline."""
-        return [
-            ticket
-            for ticket, request in self.waiting.items()
-            if now + self.mean_service_time > request.deadline
-        ]
+    def rank(self, request, now):
+        """The sort key of a request without its ticket."""
+        late = self.misses_target(request, now)
+        return (request.priority, late, request.target_time)
+
+    def misses_target(self, request, now):
+        """Return whether a statement that started now would miss its latency target."""
+        return now + self.times.expected(request.kind) > request.target_time
+
+    def work(self, item):
+        """Expected seconds of a waiting statement from its start to its end."""
+        return self.times.expected(item.request.kind)
+
+    # Forecast
+
+    def wait_for(self, work, now, share=1.0):
+        """Seconds until this much work has started and there is room again.
+
+        `share` is the part of the pace that it gets. While the next start is overdue,
+        it is expected to take as long again.
+        """
+        mean = self.times.mean
+        pace = self.pace.estimate(now, mean)
+        wait = (work + mean) / (pace * share) * self.check.correction
+        return max(wait, self.overdue(now))
+
+    def overdue(self, now):
+        """Seconds since the next start was due, if that is long; else 0."""
+        if not self.waiting:
+            return 0.0
+        late = now - self.pace.updated_at - self.completion_interval
+        return late if late > SILENCE else 0.0
+
+    def share_left(self, priority, late, now):
+        """Part of the pace that what arrives later and goes first leaves.
+
+        Before a late statement go all of its priority that can still meet their target.
+        """
+
+        def goes_first(other):
+            return other < priority or (late and other == priority)
+
+        taken = self.arrivals.rate(goes_first, now)
+        left = 1.0 - taken / self.pace.estimate(now, self.times.mean)
+        return max(left, LEAST_LATE_SHARE if late else 1 / LOWER_PRIORITY_PART)
 
     def expected_wait(self, request, now):
         """Seconds until a request starts; None: until all waiting ones have started."""
-        ahead = len(self.waiting)
-        if request is not None:
-            ahead = sum(
-                other.priority < request.priority
-                or (
-                    other.priority == request.priority
-                    and other.target_time <= request.target_time
-                )
-                for other in self.waiting.values()
-            )
-        return (ahead + 1) * self.completion_interval
+        if request is None:
+            return self.wait_for(sum(map(self.work, self.waiting.values())), now)
+        rank = self.rank(request, now)
+        wait = self.wait_behind(
+            lambda item: self.rank(item.request, now) <= rank, request, False, now
+        )
+        if self.reaches_target(request, wait, now):
+            return wait
+        return self.wait_behind(
+            lambda item: item.request.priority <= request.priority, request, True, now
+        )
+
+    def reaches_target(self, request, wait, now):
+        """Return whether a statement with this wait is answered within its target."""
+        return not self.misses_target(request, now + wait + self.check.error)
+
+    def wait_behind(self, goes_before, request, late, now):
+        """Seconds until a request starts behind the statements that go before it."""
+        ahead = [item for item in self.waiting.values() if goes_before(item)]
+        same = [item for item in ahead if item.request.priority == request.priority]
+        share = self.share_left(request.priority, late, now)
+        return self.wait_in_order(
+            sum(map(self.work, ahead)), sum(map(self.work, same)), share, now
+        )
+
+    def wait_in_order(self, ahead, same_priority, share, now):
+        """Seconds until a statement starts that has this much work before it.
+
+        Its priority gets at least its part of the pace, whatever waits above it.
+        """
+        wait = self.wait_for(ahead, now, share)
+        if ahead == same_priority:
+            return wait
+        least = min(share, 1 / LOWER_PRIORITY_PART)
+        return min(wait, self.wait_for(same_priority, now, least))
+
+    def timed_out(self, now):
+        """Tickets of waiting statements that can't be answered by their deadline."""
+        late, ahead, by_priority, shares = [], 0.0, Counter(), {}
+        for ticket in sorted(self.waiting, key=lambda item: self.sort_key(item, now)):
+            item = self.waiting[ticket]
+            work, priority = self.work(item), item.request.priority
+            rank = (priority, self.misses_target(item.request, now))
+            if rank not in shares:
+                shares[rank] = self.share_left(*rank, now)
+            wait = self.wait_in_order(ahead, by_priority[priority], shares[rank], now)
+            time_left = item.request.deadline - now - work
+            if time_left < 0 or self.stays_late(ticket, wait, time_left, now):
+                late.append(ticket)
+                continue
+            ahead += work
+            by_priority[priority] += work
+        return late
+
+    def stays_late(self, ticket, wait, time_left, now):
+        """Return whether a statement has been expected to be too late for a while."""
+        if wait <= REJUDGE_TOLERANCE * time_left:
+            self.late_since.pop(ticket, None)
+            return False
+        return now - self.late_since.setdefault(ticket, now) >= LATE_FOR
+
+    def refuse(self, ticket, now):
+        """Remove a waiting statement that is too late; returns its QueueTimeout."""
+        item = self.waiting.pop(ticket)
+        self.late_since.pop(ticket, None)
+        waited = now - item.since
+        if item.forecast is not None and waited > item.forecast:
+            self.check.record(item.forecast, waited)
+        wait = self.expected_wait(item.request, now)
+        return self.refusal(item.request, now, RefusalCause.FORECAST_CHANGED, wait)
 
     def backlogged_for(self, now):
         """Seconds for which the queue has been non-empty without a break."""
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -9,6 +9,7 @@
     MIN_RETRY_MS,
     AdmissionRequest,
     QueueTimeout,
+    RefusalCause,
     WorkQueue,
     concurrency_limit,
     retry_after_ms,
@@ -17,10 +18,10 @@
 MEAN = 0.02
 
 
-def request(*, priority=1, target_time=0.2, deadline=1.0):
+def request(*, priority=1, target_time=0.2, deadline=1.0, kind=""):
     """An admission request, on a clock that starts at 0."""
     return AdmissionRequest(
-        priority=priority, target_time=target_time, deadline=deadline
+        priority=priority, target_time=target_time, deadline=deadline, kind=kind
     )
 
 
@@ -127,3 +128,111 @@
         else:
             running += queue.start_next(now, set(queue.waiting)) is not None
         assert running == queue.running <= 3
+
+
+def queue_of_kinds(limit=2):
+    """A full queue that knows statements of 10 ms and of 200 ms."""
+    queue = full_queue(limit)
+    for _ in range(60):
+        queue.times.record("short", 0.01)
+        queue.times.record("long", 0.2)
+    return queue
+
+
+def test_short_statements_are_admitted_behind_short_ones():
+    """Guards against refusing short work for the mean of short and long work."""
+    queue = queue_of_kinds()
+    for _ in range(30):
+        queue.admit(request(kind="short", deadline=0.4), 0.0)
+    assert len(queue.waiting) == 30
+
+
+def test_long_statements_are_refused_where_short_ones_fit():
+    queue = queue_of_kinds()
+    for _ in range(4):
+        queue.admit(request(kind="long", deadline=1.0), 0.0)
+    with pytest.raises(QueueTimeout) as caught:
+        queue.admit(request(kind="long", deadline=0.6, target_time=0.6), 0.0)
+    assert caught.value.cause is RefusalCause.QUEUE_TOO_LONG
+    assert caught.value.forecast > 0.6 and caught.value.queued == 4
+    queue.admit(request(kind="short", deadline=0.6, target_time=0.1), 0.0)
+
+
+def test_a_statement_with_less_time_than_any_answer_takes_does_not_start():
+    """Guards against sending what can't be answered before its caller has left."""
+    queue = WorkQueue(limit=4, mean_service_time=MEAN)
+    queue.record_answer("read", MEAN)
+    assert queue.admit(request(kind="read", deadline=0.01), 0.0) is None
+    with pytest.raises(QueueTimeout) as caught:
+        queue.admit(request(kind="read", deadline=0.01), 0.0)
+    assert caught.value.cause is RefusalCause.TOO_LITTLE_TIME
+
+
+def test_an_upstream_that_turns_slow_has_its_queue_judged_again():
+    """Guards against callers that wait to their deadline in an upstream's old queue.
+
+    An upstream with a full queue takes eight times as long as before.
+    """
+    queue = full_queue()
+    for _ in range(30):
+        queue.admit(request(deadline=1.0, target_time=0.9), 0.0)
+    refused_at = []
+    for step in range(1, 100):
+        now = 0.01 * step
+        for ticket in queue.timed_out(now):
+            queue.refuse(ticket, now)
+            refused_at.append(now)
+        if step % 8 == 0:
+            queue.finish(now, 8 * MEAN)
+            queue.start_next(now, set(queue.waiting))
+    assert len(refused_at) > 15
+    assert sorted(refused_at)[10] < 0.6
+    assert queue.refusals[RefusalCause.FORECAST_CHANGED] == len(refused_at)
+
+
+def test_a_lower_priority_gets_its_part_in_a_lasting_overload():
+    """Guards against a priority that is refused whole while a higher one overloads."""
+    queue = full_queue()
+    started = []
+    for step in range(400):
+        now = MEAN / 2 * step
+        for priority in (0, 0, 1):
+            try:
+                queue.admit(
+                    request(
+                        priority=priority, target_time=now + 0.4, deadline=now + 1.0
+                    ),
+                    now,
+                )
+            except QueueTimeout:
+                continue
+        for ticket in queue.timed_out(now):
+            queue.refuse(ticket, now)
+        queue.finish(now, MEAN)
+        waiting = dict(queue.waiting)
+        ticket = queue.start_next(now, set(waiting))
+        started.append(waiting[ticket].request.priority)
+    assert 1 / 12 < sum(started[100:]) / len(started[100:]) < 1 / 6
+
+
+def test_the_forecast_of_a_wait_holds_in_a_steady_overload():
+    """Guards against a forecast that promises more than the queue keeps."""
+    queue = full_queue()
+    waits = []
+    for step in range(600):
+        now = MEAN / 2 * step
+        for _ in range(1 + step % 2):
+            try:
+                queue.admit(request(target_time=now + 0.4, deadline=now + 1.0), now)
+            except QueueTimeout:
+                continue
+        for ticket in queue.timed_out(now):
+            queue.refuse(ticket, now)
+        queue.finish(now, MEAN)
+        waiting = dict(queue.waiting)
+        ticket = queue.start_next(now, set(waiting))
+        waits.append(now - waiting[ticket].since)
+    assert max(waits[200:]) < 0.45
+    assert queue.check.error < 0.05
+    assert queue.refusals[RefusalCause.QUEUE_TOO_LONG] > 150
+    assert queue.refusals[RefusalCause.FORECAST_CHANGED] < 30
