Owners refuse at once what can't be answered, and end rounds that can't help

Cause: reads that all upstreams had refused went round until their deadline, and from the second round on no upstream was asked, since the first round had marked the job as answered; statements waited in the queue of a slow or lost upstream to their deadline, and were sent with no time left.

--- a/packages/sessions/gypsum_sessions/execution/admission.py
+++ b/packages/sessions/gypsum_sessions/execution/admission.py
@@ -2,24 +2,34 @@
 
 import asyncio
 
-from gypsum_policy.admission import QueueTimeout, WorkQueue
+from gypsum_policy.admission import QueueTimeout, RefusalCause, WorkQueue
+
+# Waiting statements are judged again this often, seconds: an upstream that has become
+# silent ends no statement that would give the occasion.
+JUDGE_INTERVAL = 0.05
 
 
 class JobAbandoned(Exception):
     """The caller has left before the statement was sent."""
 
 
+class UpstreamUnusable(Exception):
+    """The upstream can't run a waiting statement any more; it has not been sent."""
+
+
 class QueuedStatement:
     """A statement's place in the queue; `async with` waits for it and holds it.
 
     It counts from its creation. Otherwise callers that arrive at the same moment would
-    all see the same upstream idle and all go there.
+    all see the same upstream idle and all go there. `usable` tells whether the upstream
+    can still run it.
     """
 
-    def __init__(self, *, admission, job):
+    def __init__(self, *, admission, job, kind=None, usable=None):
         self.admission = admission
         self.job = job
-        self.claim = job.admission_request()
+        self.usable = usable
+        self.claim = job.admission_request(kind)
         self.ticket = admission.take_ticket(self.claim)
         self.started_at = admission.clock()
         self.released = False
@@ -28,7 +38,7 @@
         """Wait until admitted.
 
         Raises QueueTimeout if it would come too late, JobAbandoned if the caller leaves
-        meanwhile.
+        meanwhile, UpstreamUnusable if the upstream can't run it any more.
         """
         if self.job.abandoned:
             self.release()
@@ -42,13 +52,13 @@
         """Wait for the ticket's turn, or until the job is abandoned."""
         self.job.withdrawals.add(self.withdraw)
         try:
-            await self.admission.wait(self.ticket, self.claim.deadline)
+            await self.admission.wait(self.ticket, self.claim.deadline, self.usable)
         finally:
             self.job.withdrawals.discard(self.withdraw)
 
     def withdraw(self):
         """Leave the queue: the job was abandoned."""
-        self.admission.withdraw(self.ticket)
+        self.admission.withdraw(self.ticket, JobAbandoned())
 
     async def __aexit__(self, kind, exc, trace):
         """Release the place when the statement ends."""
@@ -63,7 +73,8 @@
             self.admission.queue.withdraw(self.ticket)
             return
         now = self.admission.clock()
-        self.admission.finished(now - self.started_at if answered else None)
+        seconds = now - self.started_at if answered else None
+        self.admission.finished(seconds, self.claim.kind)
 
 
 class UnqueuedStatement:
@@ -88,10 +99,16 @@
         self.queue = WorkQueue(limit=limit, mean_service_time=mean)
         self.clock = clock
         self.futures = {}
+        self.usable = {}
+        self.timer = None
+
+    def enqueue(self, job, kind=None, usable=None):
+        """A place for a statement; raises QueueTimeout if it would come too late.
 
-    def enqueue(self, job):
-        """A place for a job's statement; raises QueueTimeout if it comes too late."""
-        return QueuedStatement(admission=self, job=job)
+        `kind` is that of a statement that the proxy sends for the job; see
+        QueuedStatement for `usable`.
+        """
+        return QueuedStatement(admission=self, job=job, kind=kind, usable=usable)
 
     def unqueued(self):
         """A place for a statement that must not wait."""
@@ -101,45 +118,82 @@
         """Enter the queue; None for a statement that may start at once."""
         return self.queue.admit(claim, self.clock())
 
-    def finished(self, seconds):
+    def finished(self, seconds, kind=""):
         """Record a statement's end; `seconds` is its duration, None if unanswered."""
-        self.queue.finish(self.clock(), seconds)
+        self.queue.finish(self.clock(), seconds, kind)
         self.admit_waiting()
 
-    async def wait(self, ticket, deadline):
-        """Wait until a ticket is admitted; raises QueueTimeout at the deadline."""
+    def record_answer(self, kind, seconds):
+        """Record the time in which the upstream answered a statement."""
+        self.queue.record_answer(kind, seconds)
+
+    def has_time(self, job):
+        """Return whether the upstream could answer a job in time if it is sent now."""
+        least = self.queue.answer_times.least(job.kind)
+        return job.time_left(self.clock) > least
+
+    async def wait(self, ticket, deadline, usable=None):
+        """Wait until a ticket is admitted; raises QueueTimeout if that is too late."""
         fut = asyncio.get_running_loop().create_future()
         self.futures[ticket] = fut
+        self.usable[ticket] = usable
         self.admit_waiting()
+        self.start_timer()
         try:
             async with asyncio.timeout(deadline - self.clock()):
                 await fut
         except BaseException as exc:
+            refusal = self.refuse(ticket) if isinstance(exc, TimeoutError) else exc
             self.queue.withdraw(ticket)
             if fut.done() and not fut.cancelled() and fut.exception() is None:
                 # Admitted while it timed out or was cancelled: admit the next.
                 self.finished(None)
-            if isinstance(exc, TimeoutError):
-                raise QueueTimeout(self.queue.mean_service_time) from None
-            raise
+            raise refusal from None
         finally:
             self.futures.pop(ticket, None)
+            self.usable.pop(ticket, None)
+
+    def refuse(self, ticket):
+        """Remove a statement that is too late; returns its QueueTimeout."""
+        if ticket in self.queue.waiting:
+            return self.queue.refuse(ticket, self.clock())
+        wait = self.queue.mean_service_time
+        return QueueTimeout(wait, cause=RefusalCause.TOO_LITTLE_TIME)
 
-    def withdraw(self, ticket):
-        """End the wait of a statement whose caller has left."""
+    def withdraw(self, ticket, exc):
+        """End the wait of a statement that is not to be sent any more."""
         self.queue.withdraw(ticket)
-        self.resolve(ticket, JobAbandoned())
+        self.resolve(ticket, exc)
 
-    def admit_waiting(self):
-        """Admit statements that may start and refuse those that would be too late."""
+    def start_timer(self):
+        """Judge the waiting statements again after a while."""
+        if self.timer is None and self.futures:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(JUDGE_INTERVAL, self.judge_again)
+
+    def judge_again(self):
+        """Refuse what can't be answered in time any more and admit what may start."""
+        self.timer = None
         now = self.clock()
+        self.withdraw_unusable()
         for ticket in self.queue.timed_out(now):
             if ticket in self.futures:
-                self.queue.withdraw(ticket)
-                self.resolve(ticket, QueueTimeout(self.queue.expected_wait(None, now)))
+                self.resolve(ticket, self.queue.refuse(ticket, now))
+        self.admit_waiting()
+        self.start_timer()
+
+    def admit_waiting(self):
+        """Admit statements that may start."""
+        now = self.clock()
         while self.admit_next(now):
             pass
 
+    def withdraw_unusable(self):
+        """End the waits of statements that the upstream can't run any more."""
+        for ticket, usable in list(self.usable.items()):
+            if usable is not None and ticket in self.queue.waiting and not usable():
+                self.withdraw(ticket, UpstreamUnusable())
+
     def admit_next(self, now):
         """Admit the next waiting statement; returns whether there was one."""
         ticket = self.queue.start_next(now, self.futures)
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -65,15 +65,26 @@
         """Workspace that the statement runs for; empty if callers need no key."""
         return self.credential.workspace
 
-    def admission_request(self):
-        """Priority, target time and deadline that decide its place in the queue."""
+    def admission_request(self, kind=None):
+        """Priority, target time, deadline and kind, which decide its place in a queue.
+
+        `kind` replaces its own for a statement that the proxy sends for it.
+        """
         started_at = self.deadline - self.route.statement_timeout
         return AdmissionRequest(
             priority=self.route.priority,
             target_time=started_at + self.route.latency_target,
             deadline=self.deadline,
+            kind=kind or self.kind,
         )
 
+    @property
+    def kind(self):
+        """Key of the statements that take about as long as this one."""
+        if self.statement.commits:
+            return (self.route.name, "commit")
+        return (self.route.name, "write" if self.statement.writes else "read")
+
     def abandon(self):
         """Give up the job because its caller has left; safe to call at any time.
 
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -4,6 +4,12 @@
 from dataclasses import dataclass
 
 from gypsum_policy.admission import QueueTimeout, retry_after_ms
+from gypsum_policy.rounds import (
+    Obstacle,
+    expected_lag,
+    pause_before_round,
+    retry_wait,
+)
 from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.execution.admission import JobAbandoned
@@ -32,8 +38,6 @@
         Refusal.READ_ONLY,
     }
 )
-# Seconds before the next round when all upstreams refused.
-ROUND_PAUSE = 0.02
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,25 +75,64 @@
     """Run a read at any upstream that may serve it; returns the caller's reply."""
     if not await find_floor(group, job):
         return no_leader_reply(group.context.tuning)
-    while job.time_left(group.context.clock) > 0:
+    number = 0
+    while True:
         if not group.candidates():
             return no_leader_reply(group.context.tuning)
-        attempt = await run_round(group, job)
-        if attempt is not None and attempt.final:
-            job.served_by = attempt.upstream
-            return attempt.reply
+        attempts = await run_round(group, job)
+        if attempts and attempts[-1].final:
+            job.served_by = attempts[-1].upstream
+            return attempts[-1].reply
         if job.abandoned:
             return abandoned_reply(job)
-        if attempt is not None and attempt.wait is not None:
-            return overloaded_reply(job, attempt.wait)
-        await asyncio.sleep(ROUND_PAUSE)
-    return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
+        obstacles = [obstacle_of(group, item) for item in attempts]
+        time_left = job.time_left(group.context.clock)
+        pause = pause_before_round(obstacles, number=number, time_left=time_left)
+        if pause is None:
+            return refuse_read(group, job, obstacles)
+        await asyncio.sleep(pause)
+        number += 1
+
+
+def obstacle_of(group, attempt):
+    """Why an upstream gave no answer, for the decision about another round."""
+    if attempt.wait is not None:
+        return Obstacle(queued=True, ready_in=attempt.wait)
+    item = group.upstreams.get(attempt.upstream)
+    lagging = attempt.reply is not None and attempt.reply.refusal is Refusal.LAGGING
+    if lagging and item is not None:
+        return lagging_obstacle(group, item)
+    return Obstacle()
+
+
+def lagging_obstacle(group, item):
+    """When an upstream that lacked a read's position is expected to have it."""
+    tuning = group.context.tuning
+    behind_for = item.behind_for(group.context.clock(), tuning)
+    ready_in = expected_lag(usual=item.apply_lag, behind_for=behind_for)
+    return Obstacle(lagging=True, ready_in=ready_in)
+
+
+def refuse_read(group, job, obstacles):
+    """The refusal of a read that no upstream can run in time."""
+    if job.maybe_run:
+        return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
+    if obstacles and all(item.lagging for item in obstacles):
+        return lagging_reply(job, retry_wait(obstacles))
+    queued = [item for item in obstacles if item.queued]
+    if queued:
+        return overloaded_reply(job, retry_wait(queued))
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail="not run, no upstream was able to run it in time",
+        retry_after_ms=group.context.tuning.busy_retry_after_ms,
+    )
 
 
 async def run_round(group, job):
     """One round over the upstreams: the next is asked if one refuses or is slow.
 
-    Returns the first final attempt, else the most useful one, None if there was none.
+    Returns the attempts that ended, the final one last if there is one.
     """
     running = set()
     try:
@@ -102,7 +145,7 @@
 
 async def run_attempts(group, job, running):
     """Run the round; `running` holds the attempts under way."""
-    order, last = upstream_order(group, job), None
+    order, ended = upstream_order(group, job), []
     while order or running:
         if order:
             upstream = next_upstream(group, order, force=not running)
@@ -115,14 +158,15 @@
         )
         running -= done
         for task in done:
-            last = better_attempt(last, task.result())
-            if last.final:
+            ended.append(task.result())
+            if ended[-1].final:
                 detach_attempts(group, job, running)
-                return last
+                return ended
         if job.abandoned or job.time_left(group.context.clock) <= 0:
             break
-    detach_attempts(group, job, running)
-    return last
+    if running:
+        detach_attempts(group, job, running)
+    return ended
 
 
 def next_upstream(group, order, *, force):
@@ -141,17 +185,6 @@
     return None
 
 
-def better_attempt(first, second):
-    """The more useful of two attempts: an answer, else the shorter queue."""
-    if first is None or second.final:
-        return second
-    if first.wait is None:
-        return first
-    if second.wait is None:
-        return second
-    return min(first, second, key=lambda item: item.wait)
-
-
 def detach_attempts(group, job, tasks):
     """Let attempts that are no longer needed end on their own."""
     job.answered = True
@@ -168,14 +201,15 @@
     try:
         place = item.admission.enqueue(job)
     except QueueTimeout as exc:
-        return {asyncio.create_task(rejected_attempt(item, exc))}
+        return {asyncio.create_task(rejected_attempt(group, job, item, exc))}
     task = asyncio.create_task(attempt_read(group, job, item, place))
     task.add_done_callback(lambda _: place.release())
     return {task}
 
 
-async def rejected_attempt(item, exc):
+async def rejected_attempt(group, job, item, exc):
     """The attempt at an upstream whose queue is too long."""
+    log_refused(group, job, item, exc)
     return Attempt(upstream=item.id, reply=None, detail=str(exc), wait=exc.wait)
 
 
@@ -209,7 +243,7 @@
                 return Attempt(upstream=item.id, reply=key_withdrawn_reply())
             return await send_attempt(group, job, item)
     except QueueTimeout as exc:
-        return await rejected_attempt(item, exc)
+        return await rejected_attempt(group, job, item, exc)
     except JobAbandoned:
         return Attempt(upstream=item.id, reply=None, detail="the caller has left")
 
@@ -264,6 +298,8 @@
         # Answered elsewhere while this attempt waited for its connection. If it were
         # sent, it could run after its session's values have changed.
         return None
+    if not item.admission.has_time(job):
+        return None
     started = clock()
     job.maybe_run += 1
     reply = await send_statement(
@@ -275,6 +311,7 @@
     )
     if reply.ok:
         item.record_answer(clock() - started, reply.position, clock(), context.tuning)
+        item.admission.record_answer(job.kind, clock() - started)
     if reply.refusal in NOT_RUN:
         job.maybe_run -= 1
     record_refusal(context, item, pooled, reply)
@@ -291,6 +328,30 @@
         item.admission.queue.record_rejection(context.clock())
 
 
+def log_refused(group, job, item, exc):
+    """Log why a statement was not admitted to an upstream's queue."""
+    group.context.log(
+        "admission",
+        "refused",
+        request=job.request,
+        upstream=item.id,
+        cause=str(exc.cause),
+        forecast_ms=round(exc.forecast * 1000),
+        queued=exc.queued,
+        limit=exc.limit,
+        time_left_ms=round(job.time_left(group.context.clock) * 1000),
+    )
+
+
+def lagging_reply(job, wait):
+    """The refusal of a read whose position no upstream has; it has not run."""
+    return Reply(
+        refusal=Refusal.LAGGING,
+        detail="not run, no upstream has the position yet",
+        retry_after_ms=retry_after_ms(wait, job.request),
+    )
+
+
 def overloaded_reply(job, wait):
     """The refusal of work that can't be answered in time; it has not run."""
     job.queue_wait = wait
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -5,14 +5,18 @@
 from dataclasses import dataclass
 
 from gypsum_policy.admission import QueueTimeout
+from gypsum_policy.rounds import Obstacle, pause_before_round, retry_wait
 from gypsum_sessions.catalog import Route
-from gypsum_sessions.execution.admission import JobAbandoned
+from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import ask_upstream
 from gypsum_sessions.execution.reads import (
     abandoned_reply,
     find_floor,
     key_withdrawn_reply,
+    lagging_obstacle,
+    lagging_reply,
+    log_refused,
     no_leader_reply,
     overloaded_reply,
     upstream_order,
@@ -21,6 +25,7 @@
     NotSent,
     acquire_verified,
     cannot_confirm_reply,
+    leads,
     sync_session,
     unconfirmed_reply,
 )
@@ -80,27 +85,21 @@
 async def open_at_upstream(group, tx, job):
     """Open the transaction; returns a refusal if it can't be opened, else None."""
     opened = open_writing if tx.writes else open_reading
-    while True:
-        try:
-            refused = await opened(group, tx, job)
-        except QueueTimeout as exc:
-            return overloaded_reply(job, exc.wait)
-        except JobAbandoned:
-            return abandoned_reply(job)
-        except KeyWithdrawn:
-            return key_withdrawn_reply()
-        if refused is None or job.time_left(group.context.clock) <= 0:
-            return refused
-        if tx.pooled is None and refused.refusal is not Refusal.LAGGING:
-            return refused
-        await asyncio.sleep(BUSY_PAUSE)
+    try:
+        return await opened(group, tx, job)
+    except QueueTimeout as exc:
+        return overloaded_reply(job, exc.wait)
+    except JobAbandoned:
+        return abandoned_reply(job)
+    except KeyWithdrawn:
+        return key_withdrawn_reply()
 
 
 async def open_writing(group, tx, job):
     """BEGIN at the leader; the upstream refuses if it does not lead."""
     context, clock = group.context, group.context.clock
     wait_until = clock() + job.time_left(clock) * context.tuning.leader_wait_share
-    while clock() < wait_until:
+    while clock() < wait_until and not job.abandoned:
         item = await group.wait_writable(wait_until - clock())
         if item is None:
             break
@@ -118,17 +117,37 @@
     """BEGIN READ at any upstream that has reached the minimum position."""
     if not await find_floor(group, job):
         return no_leader_reply(group.context.tuning)
-    for upstream in upstream_order(group, job):
-        item = group.upstreams.get(upstream)
-        if item is None:
-            continue
-        if await begin_at(group, tx, job, item, BEGIN_READ_ONLY, after=job.floor):
-            return None
-    return Reply(
-        refusal=Refusal.LAGGING,
-        detail="not run, no upstream has the position yet",
-        retry_after_ms=group.context.tuning.busy_retry_after_ms,
-    )
+    number = 0
+    while True:
+        obstacles = []
+        for upstream in upstream_order(group, job):
+            item = group.upstreams.get(upstream)
+            if item is None:
+                continue
+            try:
+                begun = await begin_at(
+                    group, tx, job, item, BEGIN_READ_ONLY, after=job.floor
+                )
+            except QueueTimeout as exc:
+                obstacles.append(Obstacle(queued=True, ready_in=exc.wait))
+                continue
+            if begun:
+                return None
+            obstacles.append(lagging_obstacle(group, item))
+        time_left = job.time_left(group.context.clock)
+        pause = pause_before_round(obstacles, number=number, time_left=time_left)
+        if pause is None:
+            return refuse_begin(job, obstacles)
+        await asyncio.sleep(pause)
+        number += 1
+
+
+def refuse_begin(job, obstacles):
+    """The refusal of a read-only transaction that no upstream can open in time."""
+    queued = [item for item in obstacles if item.queued]
+    if queued:
+        return overloaded_reply(job, retry_wait(queued))
+    return lagging_reply(job, retry_wait(obstacles))
 
 
 async def begin_at(group, tx, job, item, statement, after=None):
@@ -138,10 +157,18 @@
     hold all connections while statements of higher priority wait.
     """
     job.tried.append(item.id)
-    async with item.admission.enqueue(job):
-        if not group.context.catalog.is_valid(job.credential):
-            raise KeyWithdrawn
-        return await send_begin(group, tx, job, item, statement, after)
+    kind = (job.route.name, "begin")
+    usable = leads(group, item) if statement.writes else None
+    try:
+        async with item.admission.enqueue(job, kind=kind, usable=usable):
+            if not group.context.catalog.is_valid(job.credential):
+                raise KeyWithdrawn
+            return await send_begin(group, tx, job, item, statement, after)
+    except QueueTimeout as exc:
+        log_refused(group, job, item, exc)
+        raise
+    except UpstreamUnusable:
+        return False
 
 
 async def send_begin(group, tx, job, item, statement, after):
@@ -223,6 +250,7 @@
                 item.record_answer(
                     clock() - started, reply.position, clock(), group.context.tuning
                 )
+                item.admission.record_answer(job.kind, clock() - started)
             return reply
         open_still = reply.state is SessionState.IN_TRANSACTION
         if reply.refusal is not Refusal.BUSY or not open_still:
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from gypsum_policy.admission import QueueTimeout
-from gypsum_sessions.execution.admission import JobAbandoned
+from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.execution.reads import (
     abandoned_reply,
     key_withdrawn_reply,
+    log_refused,
     no_leader_reply,
     overloaded_reply,
 )
@@ -52,12 +53,15 @@
             return cannot_confirm_reply(context.tuning)
         job.tried.append(item.id)
         try:
-            async with item.admission.enqueue(job):
+            async with item.admission.enqueue(job, usable=leads(group, item)):
                 if not context.catalog.is_valid(job.credential):
                     return key_withdrawn_reply()
                 reply = await try_write(group, job, item)
         except QueueTimeout as exc:
+            log_refused(group, job, item, exc)
             return overloaded_reply(job, exc.wait)
+        except UpstreamUnusable:
+            continue
         except JobAbandoned:
             return abandoned_reply(job)
         except OutOfTime:
@@ -86,6 +90,14 @@
     )
 
 
+def leads(group, item):
+    """Return a check of whether an upstream is still the group's primary.
+
+    Statements that wait for a lost primary look for the next one instead.
+    """
+    return lambda: group.watch.leader == item.id
+
+
 async def try_write(group, job, item):
     """One attempt; raises NotSent, OutOfTime or JobAbandoned if it was not sent.
 
@@ -102,7 +114,8 @@
             raise NotSent(str(exc)) from exc
         if job.abandoned:
             raise JobAbandoned
-        if job.time_left(clock) < MIN_WRITE_TIME:
+        too_late = job.time_left(clock) < MIN_WRITE_TIME
+        if too_late or not item.admission.has_time(job):
             raise OutOfTime
         asked_at = clock()
         stall_id = group.stall.begin(asked_at)
@@ -121,6 +134,7 @@
             item.record_answer(
                 clock() - asked_at, reply.position, clock(), context.tuning
             )
+            item.admission.record_answer(job.kind, clock() - asked_at)
             if not await is_confirmed(
                 group, reply.position, item.id, timeout=job.time_left(clock)
             ):
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass
 
-from gypsum_policy.admission import concurrency_limit
+from gypsum_policy.admission import (
+    concurrency_limit,
+    greatest_limit,
+    least_limit,
+    queue_goal,
+)
 from gypsum_policy.ownership import share_after_start
 from gypsum_policy.routing import Candidate
 from gypsum_sessions.catalog import Catalog
@@ -118,16 +123,26 @@
             mean=mean,
             clock=self.context.clock,
         )
-        self.upstreams[member.id] = Upstream(
-            member=member, pool=pool, admission=admission, mean_time=mean
-        )
+        item = Upstream(member=member, pool=pool, admission=admission, mean_time=mean)
+        self.upstreams[member.id] = item
+        self.adjust_work_limit(item)
 
     def work_limit(self, member):
-        """Statements that this daemon may run at an upstream at once."""
+        """This daemon's equal share of the statements at an upstream."""
         return concurrency_limit(
             member.slots, self.context.daemons.owner_count(self.spec)
         )
 
+    def adjust_work_limit(self, item):
+        """Set the bounds of an upstream's concurrency limit."""
+        slots, owners = item.member.slots, self.context.daemons.owner_count(self.spec)
+        item.admission.queue.concurrency.set_bounds(
+            share=self.work_limit(item.member),
+            floor=least_limit(slots, owners),
+            ceiling=greatest_limit(slots, item.pool.limit),
+            queue_goal=queue_goal(slots, owners),
+        )
+
     def can_open_transaction(self, *, writes, soon=False):
         """Return whether a transaction can be opened without waiting for a connection.
 
@@ -150,7 +165,7 @@
         for item in self.upstreams.values():
             item.pool.set_limit(self.connection_limit())
             item.pool.close_surplus()
-            item.admission.queue.limit = self.work_limit(item.member)
+            self.adjust_work_limit(item)
 
     def connection_limit(self):
         """This daemon's share, as one of the owners, of an upstream's connections.
--- a/tests/sessions/test_overload.py
+++ b/tests/sessions/test_overload.py
@@ -3,8 +3,13 @@
 import asyncio
 from dataclasses import dataclass
 from random import Random
+from statistics import median
 from unittest.mock import patch
 
+from gypsum_platform.codec import read_statement
+from gypsum_sessions.execution.jobs import Job
+from gypsum_sessions.execution.reads import run_read
+from gypsum_sessions.replies import Refusal
 from gypsum_sessions.takeover import reasons
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
@@ -104,4 +109,128 @@
     outcomes = run(primary_alone(1.2))
     assert not waited_out(outcomes)
     assert share_in_time(outcomes, "primary") > 0.98
-    assert share_in_time(outcomes) > 0.7
+    assert share_in_time(outcomes) > 0.8
+    refused = [item.seconds for item in outcomes if not item.reply.ok]
+    assert median(refused) < 0.05
+
+
+def test_a_load_that_a_primary_alone_can_carry_is_served_whole():
+    """Guards against refusing callers who could be served."""
+    outcomes = run(primary_alone(0.9))
+    assert share_in_time(outcomes) > 0.99
+
+
+async def sudden(change, *, text):
+    """Callers of one daemon fill the queues; then `change` is applied to the group.
+
+    Returns the outcomes of the statements that wait at that time.
+    """
+    rig = await rig_with_priorities(daemons=1)
+    for member in rig.group.replicas():
+        member.lag = 30.0
+    await arrivals(rig, Random(5), rate=10, seconds=3.0, outcomes=[], **WRITES)
+    outcomes, rng = [], Random(7)
+    tasks = [
+        asyncio.create_task(send(rig, rng, "primary", text, outcomes))
+        for _ in range(40)
+    ]
+    await asyncio.sleep(0.05)
+    queue = rig.proxy.groups["db"].upstreams["u1"].admission.queue
+    assert len(queue.waiting) > 15
+    served = len(outcomes)
+    change(rig.group)
+    await asyncio.gather(*tasks)
+    return rig, outcomes[served:]
+
+
+def slow_down(group):
+    """Let the primary take eight times as long for each statement."""
+    group["u1"].work *= 8
+
+
+def test_callers_queued_at_an_upstream_that_turns_slow_are_refused_early():
+    """Guards against callers in the queue of a slow upstream who wait to the deadline.
+
+    The primary turns eight times slower while its queue is full; no other upstream has
+    the position that the reads need. Only those that it runs already wait to the end.
+    """
+    rig, outcomes = run(sudden(slow_down, text="READ a"))
+    refused = [item for item in outcomes if item.reply.refusal is Refusal.BUSY]
+    assert len(refused) >= 8
+    assert max(item.seconds for item in refused) < 0.7
+    assert all(item.reply.detail.startswith("not run") for item in refused)
+    assert all(item.reply.retry_after_ms > 0 for item in refused)
+    others = len([item for item in outcomes if not item.reply.ok]) - len(refused)
+    assert others <= rig.proxy.groups["db"].upstreams["u1"].admission.queue.limit
+
+
+def test_writes_queued_at_a_lost_primary_leave_its_queue():
+    """Guards against writes that wait to the deadline for a primary that is gone.
+
+    The primary becomes silent while its queue is full. What was not sent is refused
+    before the deadline or runs at the next primary; nothing is written twice.
+    """
+
+    def fall_silent(group):
+        group["u1"].unresponsive = True
+
+    rig, outcomes = run(sudden(fall_silent, text="WRITE a 1"))
+    refused = [item for item in outcomes if item.reply.refusal is Refusal.BUSY]
+    assert len(refused) > 10
+    assert max(item.seconds for item in refused) < WAITED_OUT
+    assert all(item.reply.detail.startswith("not run") for item in refused)
+    waiting = rig.proxy.groups["db"].upstreams["u1"].admission.queue.waiting
+    assert not waiting
+
+
+def test_a_read_that_all_upstreams_refused_is_served_in_a_later_round():
+    """Guards against later rounds of a read in which no upstream is asked.
+
+    The replicas lag by 0.2 s and the primary's own queue is full for 0.1 s.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        for member in rig.group.replicas():
+            member.lag = 0.2
+        caller = rig.caller("own")
+        assert (await caller.send("WRITE a 1")).ok
+        rig.group["u1"].full = True
+        rig.loop.call_later(0.1, setattr, rig.group["u1"], "full", False)
+        started_at = rig.loop.time()
+        reply = await caller.send("READ a")
+        assert reply.ok and reply.rows == ("1",)
+        assert rig.loop.time() - started_at < 0.3
+
+    run(main())
+
+
+def test_a_read_is_not_sent_when_its_time_is_over():
+    """Guards against upstreams that run reads whose callers have gone.
+
+    A read has 5 ms left when its turn comes; answers take 20 ms.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        rng, served = Random(1), []
+        reads = [send(rig, rng, "bounded", "READ a", served) for _ in range(60)]
+        await asyncio.gather(*reads)
+        runs = sum(member.runs for member in rig.group.members)
+        now = rig.loop.clock()
+        job = Job(
+            request="1-1",
+            statement=read_statement("READ a"),
+            route=rig.proxy.catalog.route("bounded"),
+            arrived=now,
+            deadline=now + 0.005,
+            values={},
+        )
+        reply = await run_read(rig.proxy.groups["db"], job)
+        await asyncio.sleep(0.5)
+        assert reply.refusal is Refusal.BUSY and reply.detail.startswith("not run")
+        assert sum(member.runs for member in rig.group.members) == runs
+
+    run(main())
