--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -10,7 +10,7 @@
 from random import Random
 from unittest.mock import patch
 
-from gypsum_policy import admission
+from gypsum_policy import admission, concurrency
 from gypsum_sessions.execution import writes
 from gypsum_sessions.takeover import reasons
 from gypsum_sessions.takeover.leader import LeaderWatch
@@ -18,7 +18,13 @@
 from gypsum_sessions.takeover.replication import ReplicationControl
 from gypsum_sessions.tuning import SessionTuning
 from gypsum_sessions.upstreams import group
-from tests.sessions import rig, test_handover, test_lagging, test_mass_restart
+from tests.sessions import (
+    rig,
+    test_handover,
+    test_lagging,
+    test_mass_restart,
+    test_overload,
+)
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 from tests.sessions.writers import start_writers, write_for
@@ -122,6 +128,14 @@
     return reply.ok and rig.loop.time() - started_at <= 0.4
 
 
+def primary_alone():
+    """Let both replicas lag and send the primary 1.2 times what it can run.
+
+    Returns the share of statements that were answered within the target latency.
+    """
+    return test_overload.share_in_time(run(test_overload.primary_alone(1.2)))
+
+
 def silent_connections():
     """Silence open connections twice; return the share of writes not in doubt."""
 
@@ -169,6 +183,7 @@
     rush,
     silent_connections,
     slow_replica,
+    primary_alone,
 )
 
 # Switches
@@ -198,10 +213,14 @@
     return
 
 
-async def acquire_unverified(group, item, values, timeout):
+async def acquire_unverified(group, item, job):
     """Acquire a connection without checking that it still works."""
     try:
-        return await item.pool.acquire(values=values, timeout=timeout)
+        return await item.pool.acquire(
+            values=job.values,
+            timeout=job.time_left(group.context.clock),
+            workspace=job.workspace,
+        )
     except writes.UpstreamError as exc:
         raise writes.NotSent(str(exc)) from exc
 
@@ -218,7 +237,17 @@
 
 def arrival_order(self, ticket, now):
     """Sort statements by their arrival alone."""
-    return ticket
+    return (ticket,)
+
+
+def never_timed_out(self, now):
+    """Judge no waiting statement again."""
+    return []
+
+
+def fixed_limit(self, slowdown, *, queued):
+    """Leave the limit as it is."""
+    return
 
 
 SWITCHES = {
@@ -240,6 +269,12 @@
     "refusal for the queue's length": lambda: patched(
         (admission.WorkQueue, "expected_wait", no_expected_wait)
     ),
+    "waiting work judged again": lambda: patched(
+        (admission.WorkQueue, "timed_out", never_timed_out)
+    ),
+    "limit by what the upstream shows": lambda: patched(
+        (concurrency.ConcurrencyLimit, "record_answer", fixed_limit)
+    ),
     "order by worth and urgency": lambda: patched(
         (admission.WorkQueue, "sort_key", arrival_order)
     ),
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -60,6 +60,16 @@
             "Each upstream's open connections, connections dialled, mean seconds.",
             registry=self.registry,
         )
+        self.admission = Gauge(
+            "gypsum_admission",
+            "Each upstream's queue here: limit, outstanding, waiting, forecast error.",
+            registry=self.registry,
+        )
+        self.not_admitted = Gauge(
+            "gypsum_admission_refusals",
+            "Statements that were not sent to an upstream, by cause.",
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "gypsum_store_calls_total",
             "Calls to the store, by step and kind of object.",
@@ -128,6 +138,22 @@
                 displaced = item.pool.displaced
                 self.upstreams.set({**labels, "what": "displaced"}, displaced)
                 self.upstreams.set({**labels, "what": "mean_seconds"}, item.mean_time)
+                self.collect_admission(labels, item.admission.queue)
+
+    def collect_admission(self, labels, queue):
+        """Update the state of the queue before an upstream."""
+        figures = {
+            "limit": queue.limit,
+            "outstanding": queue.running,
+            "waiting": len(queue.waiting),
+            "forecast_error_seconds": queue.check.error,
+            "forecast_correction": queue.check.correction,
+            "slowdown": queue.answer_times.slowdown,
+        }
+        for what, value in figures.items():
+            self.admission.set({**labels, "what": what}, value)
+        for cause, number in queue.refusals.items():
+            self.not_admitted.set({**labels, "cause": str(cause)}, number)
 
     def collect_usage(self, usage):
         """Update the operations granted and refused to workspaces that have a cap."""
--- a/tests/sessions/test_metrics.py
+++ b/tests/sessions/test_metrics.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gypsum_policy.admission import RefusalCause
 from gypsum_policy.ratelimit import Cap
 from gypsum_sessions.metrics import (
     MAX_NAMED_WORKSPACES,
@@ -15,6 +16,28 @@
 READS = "gypsum_reads_total"
 
 
+def test_the_queue_before_an_upstream_is_shown():
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        queue = rig.proxy.groups["db"].upstreams["u1"].admission.queue
+        queue.start_unqueued()
+        queue.refusals[RefusalCause.QUEUE_TOO_LONG] = 3
+        metrics = SessionMetrics()
+        metrics.collect(rig.proxy, dropped_lines=0)
+        return metrics, queue.limit
+
+    metrics, limit = run(main())
+    labels = {"group": "db", "upstream": "u1"}
+    shown = {
+        what: metrics.admission.get({**labels, "what": what})
+        for what in ("limit", "outstanding", "waiting")
+    }
+    assert shown == {"limit": limit, "outstanding": 1, "waiting": 0}
+    cause = {**labels, "cause": "queue_too_long"}
+    assert metrics.not_admitted.get(cause) == 3
+
+
 def counted(metrics, rule, by):
     """Return the reads counted for a rule and a role."""
     labels = {"database": rule, "rule": rule, "by": by}
