Only answers count as service times of an admission queue

Cause: a place in the queue counted as answered whatever came of it, so refusals for lag or a full queue, a round trip each, were taken for service times of the kind. Evidence: test_refusals_are_no_service_times fails on the code before: two full replicas bring the expected time of a read below 15 ms, answers take 20. Change: a place whose statement got no answer is released without a time.

--- a/packages/sessions/gypsum_sessions/execution/admission.py
+++ b/packages/sessions/gypsum_sessions/execution/admission.py
@@ -47,6 +47,7 @@
             await self.wait_admitted()
             self.ticket = None
         self.started_at = self.admission.clock()
+        return self
 
     async def wait_admitted(self):
         """Wait for the ticket's turn, or until the job is abandoned."""
@@ -65,7 +66,11 @@
         self.release(answered=exc is None)
 
     def release(self, answered=False):
-        """Release the place; later calls do nothing."""
+        """Release the place; later calls do nothing.
+
+        Only the time of an answer counts as a service time: a refusal takes a round
+        trip, and with those among the times forecasts would promise far too much.
+        """
         if self.released:
             return
         self.released = True
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -241,7 +241,10 @@
                 return Attempt(upstream=item.id, reply=None, detail="answered before")
             if not group.context.catalog.is_valid(job.credential):
                 return Attempt(upstream=item.id, reply=key_withdrawn_reply())
-            return await send_attempt(group, job, item)
+            attempt = await send_attempt(group, job, item)
+            if attempt.reply is None or not attempt.reply.ok:
+                place.release()
+            return attempt
     except QueueTimeout as exc:
         return await rejected_attempt(group, job, item, exc)
     except JobAbandoned:
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -160,10 +160,13 @@
     kind = (job.route.name, "begin")
     usable = leads(group, item) if statement.writes else None
     try:
-        async with item.admission.enqueue(job, kind=kind, usable=usable):
+        async with item.admission.enqueue(job, kind=kind, usable=usable) as place:
             if not group.context.catalog.is_valid(job.credential):
                 raise KeyWithdrawn
-            return await send_begin(group, tx, job, item, statement, after)
+            begun = await send_begin(group, tx, job, item, statement, after)
+            if not begun:
+                place.release()
+            return begun
     except QueueTimeout as exc:
         log_refused(group, job, item, exc)
         raise
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -53,10 +53,13 @@
             return cannot_confirm_reply(context.tuning)
         job.tried.append(item.id)
         try:
-            async with item.admission.enqueue(job, usable=leads(group, item)):
+            queued = item.admission.enqueue(job, usable=leads(group, item))
+            async with queued as place:
                 if not context.catalog.is_valid(job.credential):
                     return key_withdrawn_reply()
                 reply = await try_write(group, job, item)
+                if not reply.ok:
+                    place.release()
         except QueueTimeout as exc:
             log_refused(group, job, item, exc)
             return overloaded_reply(job, exc.wait)
--- a/tests/sessions/test_overload.py
+++ b/tests/sessions/test_overload.py
@@ -206,6 +206,39 @@
     run(main())
 
 
+def test_refusals_are_no_service_times():
+    """Guards against forecasts that take the time of refusals for that of answers."""
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        outcomes, rng = [], Random(1)
+        await arrivals(
+            rig,
+            rng,
+            rate=50,
+            seconds=1.0,
+            database="own",
+            text="READ a",
+            outcomes=outcomes,
+        )
+        rig.group["u2"].full = rig.group["u3"].full = True
+        await arrivals(
+            rig,
+            rng,
+            rate=50,
+            seconds=1.0,
+            database="own",
+            text="READ a",
+            outcomes=outcomes,
+        )
+        assert all(item.reply.ok for item in outcomes)
+        for item in rig.proxy.groups["db"].upstreams.values():
+            assert item.admission.queue.times.expected(("own", "read")) > 0.015
+
+    run(main())
+
+
 def test_a_read_is_not_sent_when_its_time_is_over():
     """Guards against upstreams that run reads whose callers have gone.
 
