--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -19,10 +19,6 @@
 from gypsum_policy.concurrency import ConcurrencyLimit
 from gypsum_policy.forecast import ArrivalRates, ForecastCheck, Pace, ServiceTimes
 
-# Statements that all owners together have at an upstream for each of its slots. One
-# runs; the others keep the slot busy during network round trips and where the owners'
-# shares are uneven. With four, the last one waits for three statements to finish.
-OUTSTANDING_PER_SLOT = 4
 # Each rejection by an upstream with a full queue lowers the limit by one for this many
 # seconds, which is longer than its queue takes to empty.
 LIMIT_REDUCED_FOR = 1.0
@@ -55,32 +51,6 @@
     return max(MIN_RETRY_MS, round(wait * 1000 * (1 + RETRY_JITTER * spread)))
 
 
-def concurrency_limit(slots, owners):
-    """Statements that each owner may have at an upstream at once, to begin with."""
-    return 1 + -(-OUTSTANDING_PER_SLOT * slots // max(1, owners))
-
-
-def least_limit(slots, owners):
-    """Statements that each owner may have at an upstream however slow it is.
-
-    Two for each slot over all owners: one that runs and the next, on its way.
-    """
-    return -(-2 * slots // max(1, owners))
-
-
-def queue_goal(slots, owners):
-    """How many of each owner's statements may wait at an upstream: one for each slot.
-
-    They keep the slots busy during round trips and wait about as long as they run.
-    """
-    return max(1.0, slots / max(1, owners))
-
-
-def greatest_limit(slots, connections):
-    """Statements that an owner may have at an upstream that no other owner uses."""
-    return min(OUTSTANDING_PER_SLOT * slots, connections)
-
-
 class RefusalCause(StrEnum):
     """Why a statement was refused before it was sent."""
 
--- a/packages/policy/gypsum_policy/concurrency.py
+++ b/packages/policy/gypsum_policy/concurrency.py
@@ -13,6 +13,10 @@
 owner that dies or is cut off leaves nothing behind.
 """
 
+# Statements that all owners together have at an upstream for each of its slots. One
+# runs; the others keep the slot busy during network round trips and where the owners'
+# shares are uneven. With four, the last one waits for three statements to finish.
+OUTSTANDING_PER_SLOT = 4
 # Answers that take up to this factor longer than without load are no sign of a queue:
 # service times vary, and so do their means.
 TOLERANCE = 1.3
@@ -25,6 +29,32 @@
 ANSWERS_TO_RETURN = 10
 
 
+def concurrency_limit(slots, owners):
+    """Statements that each owner may have at an upstream at once, to begin with."""
+    return 1 + -(-OUTSTANDING_PER_SLOT * slots // max(1, owners))
+
+
+def least_limit(slots, owners):
+    """Statements that each owner may have at an upstream however slow it is.
+
+    Two for each slot over all owners: one that runs and the next, on its way.
+    """
+    return -(-2 * slots // max(1, owners))
+
+
+def queue_goal(slots, owners):
+    """How many of each owner's statements may wait at an upstream: one for each slot.
+
+    They keep the slots busy during round trips and wait about as long as they run.
+    """
+    return max(1.0, slots / max(1, owners))
+
+
+def greatest_limit(slots, connections):
+    """Statements that an owner may have at an upstream that no other owner uses."""
+    return min(OUTSTANDING_PER_SLOT * slots, connections)
+
+
 class ConcurrencyLimit:
     """The limit of statements at an upstream, from `floor` to `ceiling`.
 
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gypsum_policy.admission import (
+from gypsum_policy.concurrency import (
     concurrency_limit,
     greatest_limit,
     least_limit,
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -11,9 +11,9 @@
     QueueTimeout,
     RefusalCause,
     WorkQueue,
-    concurrency_limit,
     retry_after_ms,
 )
+from gypsum_policy.concurrency import concurrency_limit
 
 MEAN = 0.02
 
--- a/tests/policy/test_concurrency.py
+++ b/tests/policy/test_concurrency.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from gypsum_policy.admission import (
+from gypsum_policy.concurrency import (
+    ConcurrencyLimit,
     concurrency_limit,
     greatest_limit,
     least_limit,
     queue_goal,
 )
-from gypsum_policy.concurrency import ConcurrencyLimit
 
 SLOTS = 6
 OWNERS = 7
