--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -237,7 +237,7 @@
 
 def arrival_order(self, ticket, now):
     """Sort statements by their arrival alone."""
-    return (ticket,)
+    return (0, ticket)
 
 
 def never_timed_out(self, now):
--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -17,7 +17,13 @@
 from xxhash import xxh32_intdigest
 
 from gypsum_policy.concurrency import ConcurrencyLimit
-from gypsum_policy.forecast import ArrivalRates, ForecastCheck, Pace, ServiceTimes
+from gypsum_policy.forecast import (
+    ArrivalRates,
+    ForecastCheck,
+    Outlook,
+    Pace,
+    ServiceTimes,
+)
 
 # Each rejection by an upstream with a full queue lowers the limit by one for this many
 # seconds, which is longer than its queue takes to empty.
@@ -227,7 +233,7 @@
             for item in self.waiting.values()
             if item.request.priority <= request.priority
         )
-        return self.wait_for(work, now)
+        return self.outlook(now).wait(work)
 
     def start_unqueued(self):
         """Start a statement that must not wait since its transaction is open."""
@@ -246,16 +252,16 @@
 
     def start_next(self, now, among):
         """Start the next of the tickets in `among` and return it; None if none may."""
-        if self.running >= self.limit_at(now):
+        if not self.waiting or self.running >= self.limit_at(now):
             return None
-        startable = [
-            ticket
-            for ticket in self.waiting
-            if ticket in among and not self.is_too_late(ticket, now)
-        ]
+        startable = sorted(
+            self.sort_key(ticket, now)
+            for ticket, item in self.waiting.items()
+            if ticket in among and not self.is_too_late(item.request, now)
+        )
         if not startable:
             return None
-        ticket = self.next_ticket(startable, now)
+        ticket = self.next_ticket(startable)
         item = self.waiting.pop(ticket)
         self.late_since.pop(ticket, None)
         self.pace.record_start(self.work(item), now)
@@ -264,32 +270,26 @@
         self.running += 1
         return ticket
 
-    def is_too_late(self, ticket, now):
+    def is_too_late(self, request, now):
         """Return whether a statement that started now would end after its deadline."""
-        request = self.waiting[ticket].request
         if not self.running:
             return now >= request.deadline
         return now + self.times.expected(request.kind) > request.deadline
 
-    def next_ticket(self, startable, now):
-        """The first in order, or now and then the first of a lower priority."""
-        first = min(startable, key=lambda ticket: self.sort_key(ticket, now))
-        highest = self.waiting[first].request.priority
-        lower = [
-            ticket
-            for ticket in startable
-            if self.waiting[ticket].request.priority > highest
-        ]
+    def next_ticket(self, keys):
+        """The ticket of the first sort key, or now and then of a lower priority."""
+        first = keys[0]
+        lower = [key for key in keys if key[0] > first[0]]
         if not lower:
             self.passed_over = 0.0
-            return first
-        other = min(lower, key=lambda ticket: self.sort_key(ticket, now)[1:])
-        due = (LOWER_PRIORITY_PART - 1) * self.work(self.waiting[other])
+            return first[-1]
+        other = min(lower, key=lambda key: key[1:])
+        due = (LOWER_PRIORITY_PART - 1) * self.work(self.waiting[other[-1]])
         if self.passed_over < due:
-            self.passed_over += self.work(self.waiting[first])
-            return first
+            self.passed_over += self.work(self.waiting[first[-1]])
+            return first[-1]
         self.passed_over = 0.0
-        return other
+        return other[-1]
 
     def sort_key(self, ticket, now):
         """Order of waiting statements: priority, still on target, earliest target."""
@@ -310,25 +310,18 @@
 
     # Forecast
 
-    def wait_for(self, work, now, share=1.0):
-        """Seconds until this much work has started and there is room again.
-
-        `share` is the part of the pace that it gets. While the next start is overdue,
-        it is expected to take as long again.
-        """
+    def outlook(self, now):
+        """What forecasts rest on now."""
         mean = self.times.mean
-        pace = self.pace.estimate(now, mean)
-        wait = (work + mean) / (pace * share) * self.check.correction
-        return max(wait, self.overdue(now))
-
-    def overdue(self, now):
-        """Seconds since the next start was due, if that is long; else 0."""
-        if not self.waiting:
-            return 0.0
-        late = now - self.pace.updated_at - self.completion_interval
-        return late if late > SILENCE else 0.0
+        overdue = now - self.pace.updated_at - self.completion_interval
+        return Outlook(
+            pace=self.pace.estimate(now, mean),
+            mean=mean,
+            correction=self.check.correction,
+            overdue=overdue if self.waiting and overdue > SILENCE else 0.0,
+        )
 
-    def share_left(self, priority, late, now):
+    def share_left(self, priority, late, pace, now):
         """Part of the pace that what arrives later and goes first leaves.
 
         Before a late statement go all of its priority that can still meet their target.
@@ -337,58 +330,57 @@
         def goes_first(other):
             return other < priority or (late and other == priority)
 
-        taken = self.arrivals.rate(goes_first, now)
-        left = 1.0 - taken / self.pace.estimate(now, self.times.mean)
+        left = 1.0 - self.arrivals.rate(goes_first, now) / pace
         return max(left, LEAST_LATE_SHARE if late else 1 / LOWER_PRIORITY_PART)
 
     def expected_wait(self, request, now):
         """Seconds until a request starts; None: until all waiting ones have started."""
+        outlook = self.outlook(now)
         if request is None:
-            return self.wait_for(sum(map(self.work, self.waiting.values())), now)
+            return outlook.wait(sum(map(self.work, self.waiting.values())))
         rank = self.rank(request, now)
-        wait = self.wait_behind(
-            lambda item: self.rank(item.request, now) <= rank, request, False, now
-        )
+        ahead = [
+            item
+            for item in self.waiting.values()
+            if self.rank(item.request, now) <= rank
+        ]
+        wait = self.wait_behind(ahead, request, False, outlook, now)
         if self.reaches_target(request, wait, now):
             return wait
-        return self.wait_behind(
-            lambda item: item.request.priority <= request.priority, request, True, now
-        )
+        ahead = [
+            item
+            for item in self.waiting.values()
+            if item.request.priority <= request.priority
+        ]
+        return self.wait_behind(ahead, request, True, outlook, now)
 
     def reaches_target(self, request, wait, now):
         """Return whether a statement with this wait is answered within its target."""
         return not self.misses_target(request, now + wait + self.check.error)
 
-    def wait_behind(self, goes_before, request, late, now):
-        """Seconds until a request starts behind the statements that go before it."""
-        ahead = [item for item in self.waiting.values() if goes_before(item)]
+    def wait_behind(self, ahead, request, late, outlook, now):
+        """Seconds until a request starts behind the statements `ahead` of it."""
         same = [item for item in ahead if item.request.priority == request.priority]
-        share = self.share_left(request.priority, late, now)
-        return self.wait_in_order(
-            sum(map(self.work, ahead)), sum(map(self.work, same)), share, now
+        return outlook.wait_in_order(
+            sum(map(self.work, ahead)),
+            sum(map(self.work, same)),
+            self.share_left(request.priority, late, outlook.pace, now),
+            1 / LOWER_PRIORITY_PART,
         )
 
-    def wait_in_order(self, ahead, same_priority, share, now):
-        """Seconds until a statement starts that has this much work before it.
-
-        Its priority gets at least its part of the pace, whatever waits above it.
-        """
-        wait = self.wait_for(ahead, now, share)
-        if ahead == same_priority:
-            return wait
-        least = min(share, 1 / LOWER_PRIORITY_PART)
-        return min(wait, self.wait_for(same_priority, now, least))
-
     def timed_out(self, now):
         """Tickets of waiting statements that can't be answered by their deadline."""
-        late, ahead, by_priority, shares = [], 0.0, Counter(), {}
+        outlook, late, shares = self.outlook(now), [], {}
+        ahead, by_priority = 0.0, Counter()
         for ticket in sorted(self.waiting, key=lambda item: self.sort_key(item, now)):
             item = self.waiting[ticket]
             work, priority = self.work(item), item.request.priority
             rank = (priority, self.misses_target(item.request, now))
             if rank not in shares:
-                shares[rank] = self.share_left(*rank, now)
-            wait = self.wait_in_order(ahead, by_priority[priority], shares[rank], now)
+                shares[rank] = self.share_left(*rank, outlook.pace, now)
+            wait = outlook.wait_in_order(
+                ahead, by_priority[priority], shares[rank], 1 / LOWER_PRIORITY_PART
+            )
             time_left = item.request.deadline - now - work
             if time_left < 0 or self.stays_late(ticket, wait, time_left, now):
                 late.append(ticket)
--- a/packages/policy/gypsum_policy/forecast.py
+++ b/packages/policy/gypsum_policy/forecast.py
@@ -7,6 +7,7 @@
 """
 
 from collections import Counter, deque
+from dataclasses import dataclass
 from math import exp
 from statistics import median
 
@@ -110,6 +111,39 @@
         return self.work / (self.time + overdue) if overdue > 0 else pace
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Outlook:
+    """What the forecasts of one moment rest on; `mean` is the mean service time.
+
+    While the next start is `overdue` by so many seconds, it is expected to take as long
+    again.
+    """
+
+    pace: float
+    mean: float
+    correction: float
+    overdue: float
+
+    def wait(self, work, share=1.0):
+        """Seconds until this much work has started and there is room again.
+
+        `share` is the part of the pace that it gets.
+        """
+        wait = (work + self.mean) / (self.pace * share) * self.correction
+        return max(wait, self.overdue)
+
+    def wait_in_order(self, ahead, same_priority, share, least):
+        """Seconds until a statement starts that has this much work before it.
+
+        Its priority gets at least the part `least` of the pace for its own work,
+        whatever waits above it.
+        """
+        wait = self.wait(ahead, share)
+        if ahead == same_priority:
+            return wait
+        return min(wait, self.wait(same_priority, min(share, least)))
+
+
 class ArrivalRates:
     """Seconds of work that arrive in each second, by priority.
 
