A stall of the queue does not pass for a lasting overload

Cause: what arrives and goes first was compared with the measured pace, which a stall of half a second brings to a fraction; the forecast of a statement past its target was then ten times too long. Change: the pace counts for no less than the running statements there.

--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -325,12 +325,14 @@
         """Part of the pace that what arrives later and goes first leaves.
 
         Before a late statement go all of its priority that can still meet their target.
+        In the long run the pace is the number of running statements: a short stall,
+        which lowers the measured pace, must not pass for a lasting overload.
         """
 
         def goes_first(other):
             return other < priority or (late and other == priority)
 
-        left = 1.0 - self.arrivals.rate(goes_first, now) / pace
+        left = 1.0 - self.arrivals.rate(goes_first, now) / max(pace, self.running)
         return max(left, LEAST_LATE_SHARE if late else 1 / LOWER_PRIORITY_PART)
 
     def expected_wait(self, request, now):
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -236,3 +236,21 @@
     assert queue.check.error < 0.05
     assert queue.refusals[RefusalCause.QUEUE_TOO_LONG] > 150
     assert queue.refusals[RefusalCause.FORECAST_CHANGED] < 30
+
+
+def test_a_stall_is_no_lasting_overload():
+    """Guards against refusing callers who could be served, after a short stall.
+
+    Eight statements run and a quarter of what they can do arrives. Few statements have
+    started of late, so the measured pace is low.
+    """
+    queue = WorkQueue(limit=8, mean_service_time=MEAN)
+    for _ in range(8):
+        queue.admit(request(target_time=9.0, deadline=9.0), 0.0)
+    for step in range(100):
+        queue.arrivals.record(1, MEAN, 0.01 * step)
+    queue.pace.begin(0.0, 1)
+    queue.pace.record_start(MEAN, 1.0)
+    outlook = queue.outlook(1.0)
+    assert outlook.pace < 1.0
+    assert queue.share_left(1, True, outlook.pace, 1.0) == pytest.approx(0.75, abs=0.05)
