Abandon waiting statements of callers who leave, at owners too

Cause: an eighth to a fifth of the callers leave before their time for seconds at a time. Their statements still waited, were sent and run, in queues in which others miss their deadlines.

Change: the entry abandons the job under way when its caller's connection ends. A statement that was sent to an owner is followed by AbandonStatement, only on links on which the owner has set accepts_abandon in a response; an older daemon would close the link at an unknown message. The owner registers a statement's job when it reads it, so a notice in the same read finds it.

--- a/packages/sessions/gypsum_sessions/callers/caller.py
+++ b/packages/sessions/gypsum_sessions/callers/caller.py
@@ -68,6 +68,8 @@
     def on_disconnect(self):
         """The caller ended the session, or its connection was lost."""
         self.closed = True
+        if self.session is not None:
+            self.session.abandon()
         self.inbox.put_nowait(("end", None))
 
     def close_idle(self):
--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -70,6 +70,8 @@
         fields["owner"] = job.owner
     if job.orphaned:
         fields["orphaned"] = True
+    if job.abandoned:
+        fields["abandoned"] = True
     if job.floor is not None:
         fields["floor"] = str(job.floor)
         fields["floor_age_ms"] = round(job.floor_age * 1000)
--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -38,7 +38,7 @@
     `abort_unreported` is set while the caller does not know yet that the proxy rolled
     its transaction back. `unfinished` has the jobs of which an attempt still ran after
     the reply, on this daemon or on an owner. `orphaned` is set once a statement was
-    sent and nothing will tell whether it still runs.
+    sent and nothing will tell whether it still runs. `job` is the job under way.
     """
 
     number: int
@@ -59,6 +59,15 @@
     running: bool = False
     unfinished: list[Job] = field(default_factory=list)
     orphaned: bool = False
+    job: Job | None = None
+
+    def abandon(self):
+        """Give up the job under way: the caller has left.
+
+        An open transaction is rolled back once the session is closed.
+        """
+        if self.job is not None:
+            self.job.abandon()
 
     async def run(self, request, statement):
         """Run one statement; returns the complete reply for the caller."""
@@ -80,6 +89,7 @@
                 reply = await self.run_locally(request, statement, arrived)
         finally:
             self.running = False
+            self.job = None
             self.last_active = clock()
             self.track_unfinished(job)
         self.proxy.request_log.log_answer(self, request, statement, job, reply, arrived)
@@ -274,7 +284,7 @@
                 argument=statement.argument,
                 writes=known.writes,
             )
-        return Job(
+        self.job = Job(
             request=request,
             statement=statement,
             route=route,
@@ -285,6 +295,7 @@
             own_floor=self.own_floor,
             credential=self.credential,
         )
+        return self.job
 
     async def run_job(self, job):
         """Run a job, inside the open transaction if there is one."""
@@ -296,6 +307,8 @@
         over_cap = await self.check_cap(job.request)
         if over_cap is not None:
             return over_cap
+        if job.abandoned:
+            return self.refuse(Refusal.BUSY, "not run, the caller has left")
         if job.statement.writes:
             reply = await access.write(job)
             if reply.ok:
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -64,7 +64,8 @@
     estimated queueing time in seconds if the statement was refused because of it.
     `unable`: nothing ran, for a reason that concerns this owner only, so another owner
     may be able to run it. `orphaned`: an attempt was sent to an upstream, and the owner
-    can't tell whether it still runs.
+    can't tell whether it still runs. `accepts_abandon`: the owner understands
+    `AbandonStatement`.
     """
 
     call: int
@@ -78,6 +79,19 @@
     unfinished: float = 0.0
     queue: float = 0.0
     orphaned: bool = False
+    accepts_abandon: bool = False
+
+
+class AbandonStatement(
+    Struct, frozen=True, kw_only=True, array_like=True, tag="abandon"
+):
+    """The caller of a statement has left: don't start it if it is not running yet.
+
+    The statement is still answered. Sent only to an owner that has shown, by
+    `accepts_abandon`, that it understands the message.
+    """
+
+    call: int
 
 
 class ReadEnded(Struct, frozen=True, kw_only=True, array_like=True, tag="read ended"):
@@ -224,6 +238,7 @@
     | Heartbeat
     | FetchList
     | ListPiece
+    | AbandonStatement
 )
 
 
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -8,11 +8,13 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 from gypsum_policy.latency import LatencyTracker
 from gypsum_policy.ownership import OwnerView, owners_to_ask
 from gypsum_sessions.daemons.peermessages import (
+    AbandonStatement,
     FeedUpdate,
     GrantResponse,
     Heartbeat,
@@ -100,6 +102,8 @@
         self.last_number = 0
         self.heard_at = clock()
         self.draining = False
+        # Whether the peer has shown that it understands `AbandonStatement`.
+        self.accepts_abandon = False
         self.accepts_until = float("inf")
         self.close_reason = ""
         self.watchdog = None
@@ -133,6 +137,8 @@
 
     def handle_response(self, message):
         """Complete the request that a response belongs to, if it is still pending."""
+        if isinstance(message, StatementResponse):
+            self.accepts_abandon = self.accepts_abandon or message.accepts_abandon
         fut = self.pending.pop(message.call, None)
         if fut is None or fut.done():
             return
@@ -181,8 +187,8 @@
         finally:
             del self.unfinished[call]
 
-    async def timed_request(self, make, pace, *, timeout):
-        """Send a request and record how long its answer took; raises PeerLost.
+    async def timed_request(self, make, pace, *, timeout, job):
+        """Send a job's request and record how long its answer took; raises PeerLost.
 
         If the peer refuses because of its queue, the queueing time that it reports is
         recorded; without an answer the time spent waiting is.
@@ -190,7 +196,9 @@
         began, token = self.clock(), object()
         pace.start_request(token, began)
         try:
-            answer = await self.request(make, timeout=timeout)
+            answer = await self.request(
+                make, timeout=timeout, withdrawals=job.withdrawals
+            )
         except PeerLost as exc:
             if exc.sent:
                 pace.record(self.clock() - began, self.clock())
@@ -217,8 +225,13 @@
         self.close("silent")
         raise self.lost_error("try", sent=False)
 
-    async def request(self, make: Callable, *, timeout):
-        """Send the request that `make` forms for its number; raises PeerLost."""
+    async def request(self, make: Callable, *, timeout, withdrawals=None):
+        """Send the request that `make` forms for its number; raises PeerLost.
+
+        While it is pending, `withdrawals` has a function that tells the peer that the
+        caller has left.
+        """
+        withdrawals = set() if withdrawals is None else withdrawals
         if self.close_reason:
             raise self.lost_error("ask", sent=False)
         call = self.next_number()
@@ -229,6 +242,8 @@
             raise PeerLost("takes no more", step="ask", peer=self.peer, sent=False)
         if self.watchdog is None or self.watchdog.done():
             self.watchdog = asyncio.create_task(self.run_watchdog())
+        withdraw = partial(self.abandon, call)
+        withdrawals.add(withdraw)
         try:
             async with asyncio.timeout(timeout):
                 return await fut
@@ -237,8 +252,18 @@
                 "no answer in time", step="ask", peer=self.peer, sent=True
             ) from None
         finally:
+            withdrawals.discard(withdraw)
             self.pending.pop(call, None)
 
+    def abandon(self, call):
+        """Tell the peer that the caller of a pending request has left.
+
+        A daemon of an older version would close the link at the unknown message, so it
+        runs the statement to its end.
+        """
+        if self.accepts_abandon and call in self.pending:
+            self.send_message(AbandonStatement(call=call))
+
     def send_message(self, message):
         """Send a message that needs no answer; dropped if the link is closed."""
         if not self.close_reason:
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -74,6 +74,8 @@
             )
             if reply is not None:
                 return reply
+            if job.abandoned:
+                return caller_left(job)
             if self.helpers:
                 return None
             asked_all = True
@@ -85,12 +87,14 @@
         """Try each owner once; returns the first reply, None if there is none."""
         unable = 0
         for name in self.owners(job.workspace):
-            if job.time_left(self.context.clock) <= 0:
+            if job.abandoned or job.time_left(self.context.clock) <= 0:
                 break
             try:
                 link = await self.peers.link(name, job.time_left(self.context.clock))
                 if not repeatable:
                     await link.check_alive()
+                if job.abandoned:
+                    break
                 answer = await self.request(
                     link, job, last_resort=self.last_resort(name, asked_all, unable)
                 )
@@ -157,6 +161,7 @@
                 ),
                 self.peers.pace(link.peer, self.spec.name),
                 timeout=left + ANSWER_MARGIN,
+                job=job,
             )
         except PeerLost as exc:
             job.orphaned = job.orphaned or exc.sent
@@ -244,13 +249,14 @@
         share = self.access.context.tuning.leader_wait_share
         until = clock() + job.time_left(clock) * share
         asked_all = False
-        while clock() < until:
+        while clock() < until and not job.abandoned:
             answer = await self.open_round(job, asked_all)
             if answer is not None:
                 return answer
             asked_all = True
             await asyncio.sleep(ROUND_INTERVAL)
-        raise PeerLost("no owner is able", step="open", peer="", sent=False)
+        why = "the caller has left" if job.abandoned else "no owner is able"
+        raise PeerLost(why, step="open", peer="", sent=False)
 
     async def open_round(self, job, asked_all):
         """Try each owner once; returns the first answer, None if none could open it."""
@@ -260,6 +266,8 @@
                 continue
             if not await self.use_link(job, name):
                 continue
+            if job.abandoned:
+                return None
             last_resort = self.access.last_resort(name, asked_all, unable)
             answer = await self.request_owner(job, first=True, last_resort=last_resort)
             if not answer.unable:
@@ -302,6 +310,12 @@
     return Reply(refusal=Refusal.IN_DOUBT, detail=f"may have run, {exc}")
 
 
+def caller_left(job):
+    """The reply to a job whose caller left before an owner answered."""
+    not_run = "" if job.orphaned else "not run, "
+    return Reply(refusal=Refusal.BUSY, detail=f"{not_run}the caller has left")
+
+
 def no_owner(job, tuning):
     """The refusal of a job that no owner answered; it has no lasting effect.
 
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -12,6 +12,7 @@
 
 from gypsum_policy.ownership import PRIMARY_LOSS_TOLERANCE
 from gypsum_sessions.daemons.peermessages import (
+    AbandonStatement,
     EndTransaction,
     FetchList,
     Follow,
@@ -67,6 +68,8 @@
         self.transactions = {}
         self.tasks = set()
         self.reads = set()
+        # Jobs of statements that are not answered yet, by request number.
+        self.jobs = {}
         self.closed = False
 
     @property
@@ -97,6 +100,8 @@
             return
         if isinstance(message, StatementRequest):
             self.accept(message)
+        elif isinstance(message, AbandonStatement):
+            self.abandon(message.call)
         elif isinstance(message, EndTransaction):
             self.spawn(self.end_transaction(message.transaction))
         elif isinstance(message, LeaderRequest):
@@ -130,15 +135,25 @@
         if self.closed:
             return
         if len(self.tasks) >= MAX_REQUESTS:
-            self.respond(
-                StatementResponse(call=request.call, reply=not_run("too many at once"))
-            )
+            self.respond_statement(request, reply=not_run("too many at once"))
             return
-        task = self.spawn(self.serve(request))
+        # Registered before its task runs, since the caller may leave meanwhile.
+        job = self.jobs[request.call] = make_job(request, self.proxy)
+        task = self.spawn(self.serve(request, job))
+        task.add_done_callback(lambda _: self.jobs.pop(request.call, None))
         if not request.transaction and not request.statement.writes:
             self.reads.add(task)
             task.add_done_callback(self.reads.discard)
 
+    def abandon(self, call):
+        """Give up a statement whose caller has left, unless it is answered already.
+
+        A link delivers in order, so an unknown number is that of an answered statement.
+        """
+        job = self.jobs.get(call)
+        if job is not None:
+            job.abandon()
+
     def spawn(self, work):
         """Start a task that belongs to this link."""
         task = asyncio.create_task(work)
@@ -147,40 +162,35 @@
         task.add_done_callback(self.proxy.on_task_done)
         return task
 
-    async def serve(self, request):
+    async def serve(self, request, job):
         """Run one statement and send its response."""
         group = self.proxy.hosting.start_for_peer(request.route.group)
         unable = self.unable_reason(request, group)
         if unable:
-            self.respond(
-                StatementResponse(call=request.call, reply=not_run(unable), unable=True)
-            )
+            self.respond_statement(request, reply=not_run(unable), unable=True)
             return
         if not self.proxy.catalog.is_valid(request.credential):
             reply = await self.refuse_withdrawn_key(request)
-            self.respond(StatementResponse(call=request.call, reply=reply))
+            self.respond_statement(request, reply=reply)
             return
-        job = make_job(request, self.proxy)
         if request.transaction:
             reply = await self.run_in_transaction(group, request, job)
         elif request.statement.writes:
             reply = await run_write(group, job)
         else:
             reply = await run_read(group, job)
-        self.respond(
-            StatementResponse(
-                call=request.call,
-                reply=reply,
-                tried=tuple(job.tried),
-                served_by=job.served_by,
-                role=str(group.role_of(job.served_by) or ""),
-                floor=job.floor,
-                floor_age=job.floor_age,
-                unfinished=self.unfinished_time(job),
-                queue=job.queue_wait,
-                unable=may_run_elsewhere(request, job, reply),
-                orphaned=job.orphaned,
-            )
+        self.respond_statement(
+            request,
+            reply=reply,
+            tried=tuple(job.tried),
+            served_by=job.served_by,
+            role=str(group.role_of(job.served_by) or ""),
+            floor=job.floor,
+            floor_age=job.floor_age,
+            unfinished=self.unfinished_time(job),
+            queue=job.queue_wait,
+            unable=may_run_elsewhere(request, job, reply),
+            orphaned=job.orphaned,
         )
         if request.hears_ends and job.running:
             self.proxy.spawn(self.send_ended(request.call, job))
@@ -302,6 +312,12 @@
         answer = await self.proxy.usage.handle_request(request)
         self.respond(replace(answer, call=request.call))
 
+    def respond_statement(self, request, **fields):
+        """Send the response to a statement; `fields` of the response."""
+        self.respond(
+            StatementResponse(call=request.call, accepts_abandon=True, **fields)
+        )
+
     def respond(self, answer):
         """Send a response unless the link is closed."""
         if not self.closed:
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -16,8 +16,9 @@
     ),
     "StatementResponse": (
         "call reply tried served_by role floor floor_age unable unfinished queue "
-        "orphaned"
+        "orphaned accepts_abandon"
     ),
+    "AbandonStatement": "call",
     "ReadEnded": "call orphaned",
     "EndTransaction": "transaction",
     "Leaving": "opens_for",
