Send work past an owner that has no room for it

Cause: all work of a workspace on a group went to one owner whatever its load. A workspace at five times its usual waited for that owner's connections, and the other workspaces of this owner with it, while other owners had room. Only an owner three times slower was noticed.

Change: consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam). Owners report the expected wait for a workspace's work in trailing fields of their responses (wait_ms, pace_ms); the asking daemon goes to the first owner of the usual order whose wait leaves a statement within its latency target. Reports run out by themselves.

--- a/packages/policy/gypsum_policy/ownership.py
+++ b/packages/policy/gypsum_policy/ownership.py
@@ -86,7 +86,8 @@
 
     `rank` is its place in the group's order of daemons. `far`: it is in another failure
     domain. `avoided`: it recently failed to answer, or announced that it leaves.
-    `expected_latency` is the time of its answers in seconds, None if unknown.
+    `expected_latency` is the time of its answers in seconds, None if unknown. `full`:
+    work would wait there for longer than its latency target allows.
     """
 
     name: str
@@ -94,6 +95,7 @@
     far: bool
     avoided: bool
     expected_latency: float | None = None
+    full: bool = False
 
 
 def is_last_resort(*, asked_all, leaving, unable):
@@ -109,23 +111,26 @@
 def owners_to_ask(views, *, owners, daemon, workspace=""):
     """Names of the daemons to ask, in order.
 
-    Owners come before the daemons that would replace failed owners, near ones before
-    far ones. Among equals each daemon starts with a different one, so that the owners
-    of a failure domain share its callers. Avoided ones are the last resort. If the
-    first owner is much slower than one of the next, that one is asked first.
+    Owners come before the daemons that would replace failed owners, those that have
+    room before full ones, near ones before far ones. Among equals each daemon starts
+    with a different one, so that the owners of a failure domain share its callers.
+    Avoided ones are the last resort. If the first owner is much slower than one of the
+    next, that one is asked first.
 
-    All daemons send the work of a workspace to the same owner, near or far. Otherwise
-    an owner's few connections, each bound to a workspace, would serve all workspaces in
-    turn, and most statements would wait for a new connection.
+    All daemons send the work of a workspace to the same owner, near or far, and to the
+    next of its order while that one is full. Otherwise an owner's few connections, each
+    bound to a workspace, would serve all workspaces in turn, and most statements would
+    wait for a new connection.
     """
 
     def sort_key(view):
         is_standby = view.rank >= owners
         if workspace:
             order_hash = xxh64_intdigest(f"{workspace}/{view.name}".encode())
-            return (view.avoided, is_standby, order_hash)
+            return (view.avoided, is_standby, view.full, order_hash)
         order_hash = xxh64_intdigest(f"{daemon}/{view.name}".encode())
-        return (view.avoided, is_standby, view.name != daemon, view.far, order_hash)
+        is_other = view.name != daemon
+        return (view.avoided, is_standby, view.full, is_other, view.far, order_hash)
 
     order = sorted(views, key=sort_key)
     best = fastest(order[:COMPARED_OWNERS], owners)
@@ -137,7 +142,11 @@
 
 def fastest(views, owners):
     """The owner with the lowest latency; an unknown one counts as typical."""
-    candidates = [view for view in views if not view.avoided and view.rank < owners]
+    candidates = [
+        view
+        for view in views
+        if not view.avoided and view.rank < owners and view.full == views[0].full
+    ]
     return min(
         candidates,
         key=lambda view: view.expected_latency or DEFAULT_LATENCY,
--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -68,6 +68,9 @@
     fields = {"upstreams": job.tried, "served_by": job.served_by}
     if job.owner:
         fields["owner"] = job.owner
+    if job.passed_over:
+        fields["passed_over"] = job.passed_over
+        fields["passed_over_wait_ms"] = round(job.passed_over_wait * 1000)
     if job.orphaned:
         fields["orphaned"] = True
     if job.abandoned:
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -65,7 +65,9 @@
     `unable`: nothing ran, for a reason that concerns this owner only, so another owner
     may be able to run it. `orphaned`: an attempt was sent to an upstream, and the owner
     can't tell whether it still runs. `accepts_abandon`: the owner understands
-    `AbandonStatement`.
+    `AbandonStatement`. `wait_ms`: expected wait at this owner for the same kind of work
+    of the same workspace, 0 if it would start at once; `pace_ms`: the time that each
+    further statement adds to it.
     """
 
     call: int
@@ -80,6 +82,8 @@
     queue: float = 0.0
     orphaned: bool = False
     accepts_abandon: bool = False
+    wait_ms: int = 0
+    pace_ms: int = 0
 
 
 class AbandonStatement(
--- a/packages/sessions/gypsum_sessions/daemons/peers.py
+++ b/packages/sessions/gypsum_sessions/daemons/peers.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
+from gypsum_policy.boundedload import OwnerWaits
 from gypsum_policy.latency import LatencyTracker
 from gypsum_policy.ownership import OwnerView, owners_to_ask
 from gypsum_sessions.daemons.peermessages import (
@@ -311,8 +313,11 @@
         self.links = {}
         self.dials = {}
         self.backoffs = {}
-        # Response times by daemon and group.
+        # Response times, and reported waits, by daemon and group.
         self.paces = {}
+        self.waits = {}
+        # Statements sent past their preferred owner, which had no room, by group.
+        self.spread = Counter()
 
     def avoided(self, name):
         """Return whether other daemons are tried before this one."""
@@ -352,10 +357,20 @@
         """Response times of a daemon in a group; kept when the link closes."""
         return self.paces.setdefault((name, group), LatencyTracker())
 
-    def ask_order(self, names, owners, group="", workspace=""):
+    def owner_waits(self, name, group):
+        """Waits that a daemon reported in a group."""
+        return self.waits.setdefault((name, group), OwnerWaits())
+
+    def expected_wait(self, name, group, kind):
+        """Expected wait of a kind of work at a daemon, seconds; 0 if unknown."""
+        waits = self.waits.get((name, group))
+        return waits.expected(kind, self.clock()) if waits is not None else 0.0
+
+    def ask_order(self, names, owners, group="", workspace="", full=frozenset()):
         """Order the other daemons of a group by preference for requests.
 
-        The first `owners` names are the group's owners; see `owners_to_ask`.
+        The first `owners` names are the group's owners; see `owners_to_ask`. `full` are
+        the daemons that have no room for the work.
         """
         own = self.daemons.own
         views = [
@@ -365,6 +380,7 @@
                 far=self.daemons.get(name).domain != own.domain,
                 avoided=self.avoided(name),
                 expected_latency=self.expected(name, group),
+                full=name in full,
             )
             for place, name in enumerate(names)
             if name != own.id
@@ -435,6 +451,7 @@
     def remove(self, name):
         """Discard the link and state of a daemon that is no longer registered."""
         self.paces = {key: pace for key, pace in self.paces.items() if key[0] != name}
+        self.waits = {key: kept for key, kept in self.waits.items() if key[0] != name}
         self.backoffs.pop(name, None)
         link = self.links.pop(name, None)
         if link is not None:
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -10,8 +10,10 @@
 import asyncio
 from dataclasses import dataclass
 
+from gypsum_policy.boundedload import longest_wait
 from gypsum_policy.ownership import is_last_resort
 from gypsum_sessions.catalog import Route
+from gypsum_sessions.daemons.ownerload import needs_leader
 from gypsum_sessions.daemons.peermessages import (
     EndTransaction,
     StatementRequest,
@@ -86,7 +88,7 @@
     async def run_round(self, job, *, repeatable, asked_all):
         """Try each owner once; returns the first reply, None if there is none."""
         unable = 0
-        for name in self.owners(job.workspace):
+        for name in self.owners_for(job, writes=job.statement.writes):
             if job.abandoned or job.time_left(self.context.clock) <= 0:
                 break
             try:
@@ -126,14 +128,43 @@
         leaves = self.peers.is_draining(name)
         return is_last_resort(asked_all=asked_all, leaving=leaves, unable=unable)
 
-    def owners(self, workspace=""):
-        """Names of the owners to try for a workspace's work, the preferred first."""
+    def owners_for(self, job, *, writes):
+        """Names of the owners to try for a job or its transaction, in order.
+
+        An owner at which it would wait past its latency target comes after those that
+        have room.
+        """
+        kind = work_kind(job, writes)
+        claim = job.admission_request()
+        longest = longest_wait(
+            now=self.context.clock(),
+            target_time=claim.target_time,
+            deadline=claim.deadline,
+        )
+        usual = self.owners(job.workspace)
+        waits = {
+            name: self.peers.expected_wait(name, self.spec.name, kind) for name in usual
+        }
+        full = {name for name, wait in waits.items() if wait > longest}
+        if not full or self.helpers:
+            return usual
+        names = self.owners(job.workspace, full)
+        if names[0] != usual[0]:
+            self.peers.spread[self.spec.name] += 1
+            job.passed_over, job.passed_over_wait = usual[0], waits[usual[0]]
+        return names
+
+    def owners(self, workspace="", full=frozenset()):
+        """Names of the owners to try for a workspace's work, the preferred first.
+
+        The `full` ones have no room for it.
+        """
         if self.helpers:
             return self.helpers
         daemons = self.context.daemons
         count = daemons.owner_count(self.spec)
         names = daemons.order(self.spec.name, count * CANDIDATES_PER_OWNER)
-        return self.peers.ask_order(names, count, self.spec.name, workspace)
+        return self.peers.ask_order(names, count, self.spec.name, workspace, full)
 
     async def request(self, link, job, **fields):
         """Send a job to one owner; `fields` of the request. Raises PeerLost.
@@ -143,6 +174,9 @@
         """
         job.owner = link.peer
         left = job.time_left(self.context.clock)
+        kind = work_kind(job, fields.get("opens_writing") or job.statement.writes)
+        waits = self.peers.owner_waits(link.peer, self.spec.name)
+        waits.record_sent(kind)
         try:
             answer = await link.timed_request(
                 lambda call: StatementRequest(
@@ -166,6 +200,12 @@
         except PeerLost as exc:
             job.orphaned = job.orphaned or exc.sent
             raise
+        waits.record(
+            kind,
+            wait=answer.wait_ms / 1000,
+            pace=answer.pace_ms / 1000,
+            now=self.context.clock(),
+        )
         self.track_end(job, link, answer)
         return answer
 
@@ -261,7 +301,7 @@
     async def open_round(self, job, asked_all):
         """Try each owner once; returns the first answer, None if none could open it."""
         unable = 0
-        for name in self.access.owners(job.workspace):
+        for name in self.access.owners_for(job, writes=self.writes):
             if not self.access.peers.accepts_transactions(name):
                 continue
             if not await self.use_link(job, name):
@@ -296,6 +336,11 @@
         self.closed = True
 
 
+def work_kind(job, writes):
+    """Kind of work by which owners' waits differ: its workspace, and who may run it."""
+    return job.workspace, needs_leader(job.route, writes)
+
+
 def record_response(job, answer: StatementResponse):
     """Record a response on its job; returns the reply."""
     job.tried.extend(answer.tried)
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -11,6 +11,7 @@
 from msgspec.structs import replace
 
 from gypsum_policy.ownership import PRIMARY_LOSS_TOLERANCE
+from gypsum_sessions.daemons.ownerload import needs_leader, report_wait
 from gypsum_sessions.daemons.peermessages import (
     AbandonStatement,
     EndTransaction,
@@ -135,7 +136,7 @@
         if self.closed:
             return
         if len(self.tasks) >= MAX_REQUESTS:
-            self.respond_statement(request, reply=not_run("too many at once"))
+            self.respond_statement(request, None, reply=not_run("too many at once"))
             return
         # Registered before its task runs, since the caller may leave meanwhile.
         job = self.jobs[request.call] = make_job(request, self.proxy)
@@ -167,11 +168,11 @@
         group = self.proxy.hosting.start_for_peer(request.route.group)
         unable = self.unable_reason(request, group)
         if unable:
-            self.respond_statement(request, reply=not_run(unable), unable=True)
+            self.respond_statement(request, group, reply=not_run(unable), unable=True)
             return
         if not self.proxy.catalog.is_valid(request.credential):
             reply = await self.refuse_withdrawn_key(request)
-            self.respond_statement(request, reply=reply)
+            self.respond_statement(request, group, reply=reply)
             return
         if request.transaction:
             reply = await self.run_in_transaction(group, request, job)
@@ -181,6 +182,7 @@
             reply = await run_read(group, job)
         self.respond_statement(
             request,
+            group,
             reply=reply,
             tried=tuple(job.tried),
             served_by=job.served_by,
@@ -312,10 +314,28 @@
         answer = await self.proxy.usage.handle_request(request)
         self.respond(replace(answer, call=request.call))
 
-    def respond_statement(self, request, **fields):
+    def respond_statement(self, request, group, **fields):
         """Send the response to a statement; `fields` of the response."""
+        wait, pace = self.report_wait(request, group)
         self.respond(
-            StatementResponse(call=request.call, accepts_abandon=True, **fields)
+            StatementResponse(
+                call=request.call,
+                accepts_abandon=True,
+                wait_ms=round(wait * 1000),
+                pace_ms=round(pace * 1000),
+                **fields,
+            )
+        )
+
+    def report_wait(self, request, group):
+        """Return the expected wait for work like a request's, and its pace."""
+        if group is None:
+            return 0.0, 0.0
+        writes = request.opens_writing or request.statement.writes
+        return report_wait(
+            group,
+            request.credential.workspace,
+            at_leader=needs_leader(request.route, writes),
         )
 
     def respond(self, answer):
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -35,6 +35,8 @@
     `credential` is what its caller was authenticated with. `maybe_run` counts attempts
     that were sent to an upstream which did not report them as not run. `abandoned` is
     set once the caller has left; `withdrawals` end the job's waits for admission then.
+    `passed_over` is the preferred owner that had no room for the job, and
+    `passed_over_wait` the wait expected there in seconds.
     """
 
     request: str
@@ -59,6 +61,8 @@
     maybe_run: int = 0
     abandoned: bool = False
     withdrawals: set = field(default_factory=set)
+    passed_over: str = ""
+    passed_over_wait: float = 0.0
 
     @property
     def workspace(self):
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -16,7 +16,7 @@
     ),
     "StatementResponse": (
         "call reply tried served_by role floor floor_age unable unfinished queue "
-        "orphaned accepts_abandon"
+        "orphaned accepts_abandon wait_ms pace_ms"
     ),
     "AbandonStatement": "call",
     "ReadEnded": "call orphaned",
