Show the load of a group as its owners see it: gypsumhitch load

Cause: an operator could see neither the queues, limits and shares of a group nor why its statements were refused: most refusals are `busy`.

--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -125,6 +125,7 @@
     for line in trace.events:
         yield f"  {format_event(line, home)}"
     yield describe_outcome(trace.final_event)
+    yield from describe_owner(trace.final_event)
     yield from describe_configuration(trace.final_event)
     if trace.context_events:
         yield "related events:"
@@ -151,6 +152,17 @@
     return text.format(refusal=refusal, detail=line.get("detail", ""))
 
 
+def describe_owner(line):
+    """Yield why the request did not go to its preferred owner, and if it was left."""
+    if "passed_over" in line:
+        yield (
+            f"Its usual owner {line['passed_over']} had no room: the wait there was "
+            f"expected to be {line['passed_over_wait_ms']} ms."
+        )
+    if line.get("abandoned"):
+        yield "Its caller left before the answer."
+
+
 def describe_configuration(line):
     """Yield the configuration used for the request, and when it was last confirmed.
 
--- a/packages/cli/gypsum_cli/main.py
+++ b/packages/cli/gypsum_cli/main.py
@@ -15,6 +15,7 @@
 from gypsum_cli.exits import ExitCode
 from gypsum_cli.explain import Explain, explain
 from gypsum_cli.explain_request import ExplainRequest, explain_request
+from gypsum_cli.load import Load, load
 from gypsum_cli.output import print_error
 from gypsum_cli.service import DaemonError
 from gypsum_cli.status import Status, status
@@ -29,6 +30,7 @@
     Status: status,
     Explain: explain,
     ExplainRequest: explain_request,
+    Load: load,
     Drain: drain,
 }
 
@@ -39,7 +41,15 @@
     """The command line."""
 
     subcommand: cappa.Subcommands[
-        Check | CheckSettings | Diff | Apply | Status | Explain | ExplainRequest | Drain
+        Check
+        | CheckSettings
+        | Diff
+        | Apply
+        | Status
+        | Explain
+        | ExplainRequest
+        | Load
+        | Drain
     ]
 
 
--- a/packages/cli/gypsum_cli/service.py
+++ b/packages/cli/gypsum_cli/service.py
@@ -29,13 +29,22 @@
 
 async def call_daemon(address, path, *, method="GET"):
     """Call a daemon's API for operators; return the JSON document."""
+    content = await fetch(address, path, method=method)
+    try:
+        return json.loads(content)
+    except ValueError as exc:
+        raise DaemonError(str(exc), step=path, peer=address) from None
+
+
+async def fetch(address, path, *, method="GET"):
+    """Call a daemon; return the body of its response."""
     body = b"" if method == "POST" else None
     client = AsyncHTTPClient(force_instance=True)
     try:
         response = await client.fetch(
             f"http://{address}{path}", method=method, body=body, request_timeout=TIMEOUT
         )
-        return json.loads(response.body)
+        return response.body
     except HTTPClientError as exc:
         raise DaemonError(error_detail(exc), step=path, peer=address) from None
     except (OSError, ValueError) as exc:
--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -1,5 +1,9 @@
 """Logs and metrics of callers' requests, with what decided their outcome."""
 
+from collections import Counter
+
+from gypsum_sessions.callers.refusalcauses import cause_of
+
 PART = "request"
 
 
@@ -8,6 +12,12 @@
 
     def __init__(self, *, proxy):
         self.proxy = proxy
+        # Refusals by group, to whom (`callers`, `daemons`) and cause.
+        self.refusals = Counter()
+
+    def count_refusal(self, group, to, reply):
+        """Count a refusal by its cause."""
+        self.refusals[group, to, cause_of(reply)] += 1
 
     def log_answer(self, session, request, statement, job, reply, arrived):
         """Log and measure a statement; `job` is None if the proxy answered it."""
@@ -17,6 +27,8 @@
         ran = job.statement if job is not None else statement
         workspace = session.credential.workspace
         self.proxy.observe(route, ran, reply, seconds, served_by, workspace)
+        if not reply.ok:
+            self.count_refusal(route.group, "callers", reply)
         if job is None and reply.ok:
             return
         self.proxy.log(
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -317,6 +317,10 @@
     def respond_statement(self, request, group, **fields):
         """Send the response to a statement; `fields` of the response."""
         wait, pace = self.report_wait(request, group)
+        if not fields["reply"].ok:
+            self.proxy.request_log.count_refusal(
+                request.route.group, "daemons", fields["reply"]
+            )
         self.respond(
             StatementResponse(
                 call=request.call,
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -1,10 +1,13 @@
 """Prometheus metrics of statement sessions."""
 
+from functools import partial
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from gypsum_policy.revisions import era_of, number_of
 from gypsum_sessions.daemons.usage import OutcomeCounts
+from gypsum_sessions.loadmetrics import LoadMetrics
 
 # Number of workspaces with series of their own; all others share one. A scrape of
 # thousands of histograms would delay the statements.
@@ -75,6 +78,7 @@
             "Transactions that were rolled back because this daemon was told to stop.",
             registry=self.registry,
         )
+        self.load = LoadMetrics(gauge=partial(Gauge, registry=self.registry))
         self.feeds = Gauge(
             "gypsum_feed",
             "Each feed: revision known here and at the watcher, behind it, store lost.",
@@ -110,6 +114,7 @@
         self.state.set({"what": "lines_dropped"}, dropped_lines)
         self.drain_rollbacks.set({}, proxy.drain_rollbacks)
         self.collect_usage(proxy.usage)
+        self.load.collect(proxy)
         for name, feed in proxy.feed_follower.feeds.items():
             vouched = number_of(feed.state.revision) if feed.state else -1
             self.feeds.set({"feed": name, "what": "era"}, era_of(feed.known))
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -136,3 +136,22 @@
     assert code == 0
     assert "its caller's key is no longer valid" in out.out
     assert "key withdrawn workspace=north version=9" in out.out
+
+
+def test_an_owner_that_was_passed_over_is_named_with_its_wait(tmp_path, capsys):
+    text = [
+        line(
+            1,
+            "request",
+            "answered",
+            request="r3",
+            group="g",
+            ms=40.0,
+            owner="d2",
+            passed_over="d7",
+            passed_over_wait_ms=310,
+        )
+    ]
+    _, out = run(tmp_path, "r3", capsys, text)
+    assert "Its usual owner d7 had no room" in out.out
+    assert "310 ms" in out.out
