Refusals by cause: reads out of time, and upstreams whose queue is full

Most refusals have the kind busy, so without a cause they can't be told apart. The test no longer builds the exception of the admission queue, whose arguments change.

--- a/packages/sessions/gypsum_sessions/callers/refusalcauses.py
+++ b/packages/sessions/gypsum_sessions/callers/refusalcauses.py
@@ -13,6 +13,8 @@
     "this daemon leaves": "drain",
     "came too late": "too late",
     "answered in time": "too late",
+    "able to run it in time": "too late",
+    "not run, busy": "upstream full",
     "no replica": "no replica",
     "no known replica": "no replica",
     "earlier statement": "earlier statement",
--- a/tests/sessions/test_loadmetrics.py
+++ b/tests/sessions/test_loadmetrics.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from gypsum_cli.load import read_metrics
-from gypsum_policy.admission import QueueTimeout
 from gypsum_sessions.callers.refusalcauses import cause_of
 from gypsum_sessions.daemons.remote import no_owner
 from gypsum_sessions.execution.jobs import Job
@@ -103,12 +102,13 @@
         values={},
     )
     replies = {
-        "queue": overloaded_reply(job, QueueTimeout(0.5).wait),
+        "queue": overloaded_reply(job, 0.5),
         "caller left": abandoned_reply(job),
         "no primary": no_leader_reply(tuning),
         "no owner": no_owner(job, tuning),
         "no replica": cannot_confirm_reply(tuning),
         "too late": out_of_time_reply(tuning),
+        "upstream full": Reply(refusal=Refusal.BUSY, detail="not run, busy"),
         "cap": Reply(
             refusal=Refusal.BUSY, detail="not run, beyond the workspace's cap"
         ),
