--- a/packages/sessions/gypsum_sessions/events.py
+++ b/packages/sessions/gypsum_sessions/events.py
@@ -1,13 +1,14 @@
-"""Structured logs: one JSON line per event, rate-limited and non-blocking."""
+"""Structured logs: one JSON line per event, rate-limited and non-blocking.
+
+The logging library is imported late: a starting daemon first serves the callers that
+wait for it. Until then the lines go to the stream directly, in the same form.
+"""
 
 import json
 import os
 from datetime import UTC, datetime
 from logging import Formatter
 
-from absl import logging
-from absl.flags import FLAGS
-
 # Lines that a process may write in a second: ten times its ordinary rate.
 LINES_PER_SECOND = 400
 # Bytes buffered for a slow reader; lines beyond that are dropped and counted.
@@ -74,16 +75,35 @@
         self.lines = 0
         self.dropped = 0
         self.stream = None
+        self.write = self.write_to_library
 
     def set_up(self, descriptor=1):
         """Write the lines to a descriptor, standard output by default."""
         self.stream = BoundedStream(descriptor=descriptor)
+        self.write = self.write_to_stream
+
+    def load_library(self):
+        """Import the logging library and pass the lines to it from now on."""
+        from absl import logging
+        from absl.flags import FLAGS
+
         FLAGS.mark_as_parsed()
         logging.use_absl_handler()
         logging.set_verbosity(logging.INFO)
         handler = logging.get_absl_handler()
         handler.python_handler.stream = self.stream
         handler.setFormatter(PlainFormatter())
+        self.write = self.write_to_library
+
+    def write_to_stream(self, text):
+        """Write one line."""
+        self.stream.write(text + "\n")
+
+    def write_to_library(self, text):
+        """Pass one line to the logging library."""
+        from absl import logging
+
+        logging.info("%s", text)
 
     def __call__(self, part, event, **fields):
         """Write one event, or count it as dropped when over the rate limit."""
@@ -104,7 +124,7 @@
             self.dropped = 0
 
     def emit(self, part, event, fields):
-        """Pass one line to the logging library."""
+        """Write one line."""
         line = {
             "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
             "daemon": self.daemon,
@@ -112,4 +132,4 @@
             "event": event,
             **fields,
         }
-        logging.info("%s", json.dumps(line, default=str))
+        self.write(json.dumps(line, default=str))
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -1,15 +1,20 @@
-"""Prometheus metrics of statement sessions."""
+"""Prometheus metrics of statement sessions.
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
+The library is imported with the first `SessionMetrics`: a starting daemon first serves
+the callers that wait for it.
+"""
 
 from gypsum_policy.revisions import era_of, number_of
 from gypsum_sessions.daemons.usage import OutcomeCounts
+from gypsum_sessions.replies import Reply
+from gypsum_sessions.statements import Statement
 
 # Number of workspaces with series of their own; all others share one. A scrape of
 # thousands of histograms would delay the statements.
 MAX_NAMED_WORKSPACES = 100
 OTHER_WORKSPACES = "others"
+# Observations that are kept until the library is loaded, a few hundred bytes each.
+MAX_PENDING = 4000
 LATENCY_BUCKETS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0]
 
 
@@ -20,6 +25,8 @@
     """
 
     def __init__(self):
+        from aioprometheus import Counter, Gauge, Histogram, Registry
+
         self.registry = Registry()
         self.seconds = Histogram(
             "gypsum_statement_seconds",
@@ -152,4 +159,36 @@
 
     def render(self, accepts):
         """Return the metrics in the Prometheus text format: (body, headers)."""
+        from aioprometheus.renderer import render
+
         return render(self.registry, accepts)
+
+
+class DeferredMetrics:
+    """Keeps observations until the metrics are loaded, so that none is lost."""
+
+    def __init__(self):
+        self.pending = []
+        self.loaded = None
+
+    def observe(self, route, statement, reply, seconds, served_by, workspace=""):
+        """Record one statement, see `SessionMetrics.observe`."""
+        if self.loaded is not None:
+            self.loaded.observe(route, statement, reply, seconds, served_by, workspace)
+            return
+        # Without texts and rows, which may have a megabyte each.
+        statement = Statement(kind=statement.kind, writes=statement.writes)
+        reply = Reply(refusal=reply.refusal)
+        kept = (route, statement, reply, seconds, served_by, workspace)
+        self.pending.append(kept)
+        if len(self.pending) >= MAX_PENDING:
+            self.load()
+
+    def load(self):
+        """Return the metrics; the first call imports the library."""
+        if self.loaded is None:
+            self.loaded = SessionMetrics()
+            for observation in self.pending:
+                self.loaded.observe(*observation)
+            self.pending.clear()
+        return self.loaded
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -27,7 +27,7 @@
     """
     program = ModuleType("gypsum_platform.daemon")
 
-    def run(path, *, stop_requested):
+    def run(path, *, stop_requested, callers):
         assert not stop_requested()
         signal.getsignal(signal.SIGTERM)(signal.SIGTERM, None)
         assert stop_requested()
