--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_policy.ratelimit import refusal_retry_ms
 from gypsum_sessions.callers.access import OpenTransaction
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -9,7 +9,7 @@
 import cbor2
 from msgspec import Struct, ValidationError, convert, to_builtins
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_policy.ratelimit import Cap
 from gypsum_sessions.catalog import Route
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.admission import AdmissionRequest
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_sessions.catalog import Route
--- a/packages/sessions/gypsum_sessions/interfaces.py
+++ b/packages/sessions/gypsum_sessions/interfaces.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any, Protocol
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_sessions.replies import Reply, UpstreamStatus
 from gypsum_sessions.statements import Statement
 from gypsum_sessions.upstreams.roster import Member
--- a/packages/sessions/gypsum_sessions/replies.py
+++ b/packages/sessions/gypsum_sessions/replies.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 
 
 class Refusal(StrEnum):
--- a/packages/sessions/gypsum_sessions/takeover/floors.py
+++ b/packages/sessions/gypsum_sessions/takeover/floors.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+# Never compared or printed: with so many fields, generating the methods for it takes
+# longer than the import of most modules.
+@dataclass(frozen=True, slots=True, kw_only=True, eq=False, repr=False)
 class SessionTuning:
     """Limits and timings; each comment gives the reason for the value."""
 
--- a/packages/sessions/gypsum_sessions/upstreams/upstream.py
+++ b/packages/sessions/gypsum_sessions/upstreams/upstream.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_sessions.execution.admission import AdmissionQueue
 from gypsum_sessions.replies import NoFreeConnection, UpstreamRefused
 from gypsum_sessions.upstreams.pool import ConnPool
--- a/tests/sessions/test_events.py
+++ b/tests/sessions/test_events.py
@@ -68,3 +68,17 @@
     assert line["daemon"] == "d"
     os.close(read_end)
     os.close(write_end)
+
+
+def test_lines_before_and_after_the_library_is_loaded_have_the_same_form():
+    writer = EventWriter(daemon="d", clock=lambda: 1.0)
+    read_end, write_end = os.pipe()
+    writer.set_up(descriptor=write_end)
+    writer("part", "early", ms=1.5)
+    writer.load_library()
+    writer("part", "late", ms=1.5)
+    early, late = map(json.loads, os.read(read_end, 65536).splitlines())
+    assert (early.pop("event"), late.pop("event")) == ("early", "late")
+    assert list(early) == list(late)
+    os.close(read_end)
+    os.close(write_end)
--- a/tests/sessions/test_metrics.py
+++ b/tests/sessions/test_metrics.py
@@ -5,10 +5,13 @@
 from gypsum_policy.ratelimit import Cap
 from gypsum_sessions.metrics import (
     MAX_NAMED_WORKSPACES,
+    MAX_PENDING,
     OTHER_WORKSPACES,
+    DeferredMetrics,
     SessionMetrics,
 )
-from gypsum_sessions.replies import Reply
+from gypsum_sessions.replies import Refusal, Reply
+from gypsum_sessions.statements import Statement, StatementKind
 from tests.sessions.rig import Rig, catalog
 from tests.sessions.vclock import run
 
@@ -112,3 +115,27 @@
     names = {labels["workspace"] for labels, _ in metrics.by_workspace.get_all()}
     assert len(names) == MAX_NAMED_WORKSPACES + 1
     assert OTHER_WORKSPACES in names
+
+
+def test_statements_before_the_library_is_loaded_are_counted():
+    """Guards against metrics that lack the first seconds of a daemon."""
+    metrics, route = DeferredMetrics(), catalog().routes["bounded"]
+    read = Statement(kind=StatementKind.READ, text="READ a")
+    metrics.observe(route, read, Reply(rows=("x" * 1000,)), 0.01, "replica", "w")
+    metrics.observe(route, read, Reply(refusal=Refusal.BUSY), 0.01, "")
+    assert "x" * 1000 not in repr(metrics.pending)
+    loaded = metrics.load()
+    metrics.observe(route, read, Reply(), 0.01, "replica")
+    assert counted(loaded, "bounded", "replica") == 2
+    assert metrics.load() is loaded
+    assert "gypsum_refusals_total" in loaded.render([])[0].decode()
+
+
+def test_the_metrics_are_loaded_once_many_statements_wait_for_them():
+    """Guards against memory that grows with the load of a starting daemon."""
+    metrics, route = DeferredMetrics(), catalog().routes["bounded"]
+    read = Statement(kind=StatementKind.READ, text="READ a")
+    for _ in range(MAX_PENDING + 10):
+        metrics.observe(route, read, Reply(), 0.01, "replica")
+    assert not metrics.pending
+    assert counted(metrics.loaded, "bounded", "replica") == MAX_PENDING + 10
