--- a/packages/sessions/gypsum_sessions/callers/caller.py
+++ b/packages/sessions/gypsum_sessions/callers/caller.py
@@ -7,11 +7,11 @@
 from gypsum_sessions.statements import Statement
 
 PART = "caller"
-# How long a new caller waits for the first configuration, seconds; callers give up
-# after 2 s.
-CATALOG_TIMEOUT = 1.5
-# How often the wait checks for the configuration, seconds.
-CATALOG_POLL_INTERVAL = 0.05
+# How long a new caller waits for the first configuration and the list of daemons,
+# seconds; callers give up after 2 s.
+LISTS_TIMEOUT = 1.5
+# How often the wait checks the time, seconds; the lists themselves end it.
+LISTS_CHECK_INTERVAL = 0.1
 
 
 class CallerTransport(Protocol):
@@ -120,7 +120,7 @@
         if self.session is not None:
             self.transport.send_final(Refusal.MALFORMED, "the session is open already")
             return False
-        if not await self.wait_catalog():
+        if not await self.wait_lists():
             self.transport.send_final(Refusal.BUSY, "not run, no configuration yet")
             return False
         route = self.proxy.catalog.route(database)
@@ -136,11 +136,20 @@
         self.transport.send_greeting()
         return True
 
-    async def wait_catalog(self):
-        """Wait briefly for the first configuration; return whether it is known."""
-        until = self.proxy.clock() + CATALOG_TIMEOUT
-        while self.proxy.catalog.version < 0 and self.proxy.clock() < until:
-            await asyncio.sleep(CATALOG_POLL_INTERVAL)
+    async def wait_lists(self):
+        """Wait briefly for the first lists; return whether there is a configuration.
+
+        With a configuration alone the session would open, and its first statement be
+        refused as long as it is not known which daemons own the group.
+        """
+        until = self.proxy.clock() + LISTS_TIMEOUT
+        while not self.proxy.lists_known and self.proxy.clock() < until:
+            event = self.proxy.lists_changed
+            try:
+                async with asyncio.timeout(LISTS_CHECK_INTERVAL):
+                    await event.wait()
+            except TimeoutError:
+                continue
         return self.proxy.catalog.version >= 0
 
     async def run_statement(self, request, statement, detail):
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -138,6 +138,8 @@
         self.tasks = set()
         self.last_session_number = 0
         self.members_known = False
+        # Set and replaced when the configuration or the list of daemons is applied.
+        self.lists_changed = asyncio.Event()
         # Set once this daemon was told to stop.
         self.drain_state = None
         # Number of transactions that the drain has rolled back.
@@ -177,6 +179,17 @@
             group.spec = candidate.groups.get(name, group.spec)
         self.close_withdrawn_sessions()
         self.hosting.reconcile()
+        self.notify_lists_changed()
+
+    @property
+    def lists_known(self):
+        """Whether it is known which daemons own which group."""
+        return self.catalog.version >= 0 and self.daemons.listed
+
+    def notify_lists_changed(self):
+        """Wake the callers that wait for the lists."""
+        self.lists_changed.set()
+        self.lists_changed = asyncio.Event()
 
     def close_withdrawn_sessions(self):
         """End the sessions whose key is not valid under the current configuration.
@@ -212,6 +225,7 @@
         self.daemons.take_all(entries)
         self.usage.daemons_changed()
         self.hosting.reconcile()
+        self.notify_lists_changed()
 
     def update_daemon(self, entry):
         """Add or change one daemon; the next maintenance pass updates the groups."""
