--- a/packages/policy/gypsum_policy/retries.py
+++ b/packages/policy/gypsum_policy/retries.py
@@ -2,7 +2,7 @@
 
 Load pattern: the store is away for seconds, or rejects some daemons, in a fleet whose
 daemons keep three feeds each. If each feed retried by itself, 88 daemons would make
-1,640 calls in ten seconds, all refused. The feeds of a daemon that get no answer
+1,610 calls in ten seconds, all refused. The feeds of a daemon that get no answer
 therefore take turns, since one answer tells all of them that the store is back.
 Followers, which serve by what they know and hear from a watcher when the store is back,
 begin with a longer backoff.
--- a/tests/sessions/test_fleet_store_outage.py
+++ b/tests/sessions/test_fleet_store_outage.py
@@ -22,7 +22,7 @@
 
 
 def test_a_fleet_calls_an_unavailable_store_a_few_times_a_daemon():
-    """Guards against 1,640 calls in an outage of ten seconds.
+    """Guards against 1,610 calls in an outage of ten seconds.
 
     Each of the three feeds of a daemon retried by itself.
     """
