A read that all upstreams refused is sent again

Cause: the end of a round marked its job as answered even if every upstream had refused (lagging replicas, a primary with a full queue). Attempts of the next rounds then gave up as "answered before", without asking anybody, and the caller waited for its whole statement timeout to hear "no upstream answered in time". Evidence: in test_mass_restart, five reads showed 21 upstreams tried in one second and two statements sent. Change: only a job whose time is over is marked when its round ends.

--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -111,8 +111,8 @@
                 detach_attempts(group, job, running)
                 return last
         if job.time_left(group.context.clock) <= 0:
+            detach_attempts(group, job, running)
             break
-    detach_attempts(group, job, running)
     return last
 
 
