Reads go to replicas that have their floor, and away from faulty upstreams

Cause: a replica that lagged was marked for 50 ms, whatever the floor, and asked again after that by every read that had arrived meanwhile; each such arrival costs its caller a round trip. An upstream that failed part of its reads was asked as often as the others; one that was slow got no reads that could have shown its recovery. Change: a model of each replica's progress (gypsum_policy/replica_progress.py) decides by floor: shown, expected by lag, soon, behind. A read is withheld from a replica that is not expected to have its floor, and a query without a slot asks for the replica's position, at intervals that double up to half a second. Results of reads, compared within the group (gypsum_policy/upstream_health.py), leave a slow, failing or hanging upstream to single probes. The upstream's own check of the position is unchanged. The lag, failing and slow tests fail on the code before.

--- a/packages/policy/gypsum_policy/routing.py
+++ b/packages/policy/gypsum_policy/routing.py
@@ -11,7 +11,9 @@
     number of this daemon's statements there, `slots` how many it runs at once.
     `connect_cost` is the time in seconds that a new connection takes, 0 if the
     caller's workspace has an idle one. `far`: it is in another failure domain.
-    `avoided`: it failed a moment ago. `saturated`: a statement would have to queue.
+    `avoided`: it failed a moment ago, or is slower or fails more than others.
+    `lagging`: it may lack the read's position. `saturated`: a statement would have to
+    queue. `probed`: it is avoided, and this read may find out whether it still has to.
     """
 
     id: str
@@ -25,6 +27,7 @@
     lagging: bool
     saturated: bool
     connect_cost: float = 0.0
+    probed: bool = False
 
 
 def order_for_read(candidates, *, far_cost):
@@ -54,4 +57,5 @@
         delay += item.expected_latency
     if item.far:
         delay += far_cost
-    return (item.avoided, item.leaving, item.lagging, delay, item.id)
+    avoided = item.avoided and not item.probed
+    return (not item.probed, avoided, item.leaving, item.lagging, delay, item.id)
--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -68,6 +68,8 @@
     fields = {"upstreams": job.tried, "served_by": job.served_by}
     if job.owner:
         fields["owner"] = job.owner
+    if job.left_out:
+        fields["left_out"] = job.left_out
     if job.orphaned:
         fields["orphaned"] = True
     if job.floor is not None:
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -32,7 +32,8 @@
     daemon that the job was sent to, if not this one. `orphaned` is set once an attempt
     was sent and nothing will tell any more whether it ran, or whether it still does.
     `queue_wait` is the queue's wait in seconds for which the job was refused.
-    `credential` is what its caller was authenticated with.
+    `credential` is what its caller was authenticated with. `left_out` gives the reason
+    for each upstream that a read was last not sent to.
     """
 
     request: str
@@ -54,6 +55,7 @@
     orphaned: bool = False
     queue_wait: float = 0.0
     credential: Credential = ANONYMOUS
+    left_out: dict[str, str] = field(default_factory=dict)
 
     @property
     def workspace(self):
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 
 from gypsum_policy.admission import QueueTimeout, retry_after_ms
-from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.replies import KEY_WITHDRAWN, Refusal, Reply, UpstreamError
 from gypsum_sessions.takeover.floors import later
 from gypsum_sessions.upstreams.pooled import sync_session_state
+from gypsum_sessions.upstreams.readplacement import place_read
 
 PART = "read"
 # Refusals after which another upstream may still answer the read.
@@ -170,11 +170,9 @@
     return Attempt(upstream=item.id, reply=None, detail=str(exc), wait=exc.wait)
 
 
-def upstream_order(group, job):
-    """Upstreams in the order in which they are asked."""
-    order = order_for_read(
-        group.candidates(job.workspace), far_cost=group.context.tuning.far_cost
-    )
+def upstream_order(group, job, *, may_probe=True):
+    """Upstreams in the order in which they are asked; empty if it is better to wait."""
+    order = place_read(group, job, may_probe=may_probe)
     if job.route.rule is ReadRule.PRIMARY and group.watch.leader in order:
         order.remove(group.watch.leader)
         order.insert(0, group.watch.leader)
@@ -183,11 +181,8 @@
 
 def hedge_delay(group, job):
     """Seconds until a further upstream is asked as well."""
-    tuning = group.context.tuning
     last = group.upstreams.get(job.tried[-1]) if job.tried else None
-    mean = last.mean_time if last else tuning.initial_mean
-    delay = max(tuning.hedge_min_delay, tuning.hedge_factor * mean)
-    return min(delay, job.time_left(group.context.clock))
+    return min(group.hedge_delay(last), job.time_left(group.context.clock))
 
 
 async def attempt_read(group, job, item, place):
@@ -254,23 +249,25 @@
         # sent, it could run after its session's values have changed.
         return None
     started = clock()
-    reply = await send_statement(
-        pooled,
-        job,
-        timeout=max(job.time_left(clock), context.tuning.ping_timeout),
-        linger=context.tuning.running_attempt_wait,
-        after=job.floor,
-    )
+    with item.measure_attempt(job.request, clock) as attempt:
+        attempt.reply = reply = await send_statement(
+            pooled,
+            job,
+            timeout=max(job.time_left(clock), context.tuning.ping_timeout),
+            linger=context.tuning.running_attempt_wait,
+            after=job.floor,
+        )
     if reply.ok:
         item.record_answer(clock() - started, reply.position, clock(), context.tuning)
-    record_refusal(context, item, pooled, reply)
+        item.record_served(job.floor)
+    record_refusal(context, item, pooled, reply, job.floor)
     return reply
 
 
-def record_refusal(context, item, pooled, reply):
+def record_refusal(context, item, pooled, reply, floor=None):
     """Update the state of the upstream and the connection after a refused read."""
     if reply.refusal is Refusal.LAGGING:
-        item.record_behind(context.clock(), context.tuning)
+        item.record_lagging(floor, reply.position, context.clock())
     if reply.refusal is Refusal.UNKNOWN_NAME:
         pooled.dirty = True
     if reply.refusal is Refusal.BUSY:
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -114,7 +114,7 @@
     """BEGIN READ at any upstream that has reached the minimum position."""
     if not await find_floor(group, job):
         return no_leader_reply(group.context.tuning)
-    for upstream in upstream_order(group, job):
+    for upstream in upstream_order(group, job, may_probe=False):
         item = group.upstreams.get(upstream)
         if item is None:
             continue
@@ -165,7 +165,7 @@
         tx.pooled, tx.pool, tx.upstream = pooled, item.pool, item.id
         return True
     if reply.refusal is Refusal.LAGGING:
-        item.record_behind(clock(), context.tuning)
+        item.record_lagging(after, reply.position, clock())
     await roll_back_and_release(group, item.pool, pooled)
     return False
 
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -57,7 +57,7 @@
         )
         self.upstreams = Gauge(
             "gypsum_upstream",
-            "Each upstream's open connections, connections dialled, mean seconds.",
+            "Each upstream's connections, mean seconds, lag, reads not sent there.",
             registry=self.registry,
         )
         self.store_calls = Counter(
@@ -128,6 +128,20 @@
                 displaced = item.pool.displaced
                 self.upstreams.set({**labels, "what": "displaced"}, displaced)
                 self.upstreams.set({**labels, "what": "mean_seconds"}, item.mean_time)
+                self.collect_placement(labels, item, proxy.clock())
+
+    def collect_placement(self, labels, item, now):
+        """Update what decides which reads are sent to an upstream."""
+        results = item.results
+        for what, value in (
+            ("lag_seconds", item.progress.expected_lag(now)),
+            ("reads_withheld", item.reads_withheld),
+            ("position_probes", item.position_probes),
+            ("failure_share", results.failure_share),
+            ("avoided", int(results.suspected or now < item.avoid_until)),
+            ("read_probes", results.probes),
+        ):
+            self.upstreams.set({**labels, "what": what}, value)
 
     def collect_usage(self, usage):
         """Update the operations granted and refused to workspaces that have a cap."""
--- a/packages/sessions/gypsum_sessions/takeover/floors.py
+++ b/packages/sessions/gypsum_sessions/takeover/floors.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from gypsum_core.records import Position
+from gypsum_policy.replica_progress import LagBounds
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,17 +22,27 @@
     asked_at: float
 
 
+@dataclass(slots=True, kw_only=True)
+class LogStep:
+    """A position of the leader, and the first and last time it was the newest."""
+
+    position: Position
+    first_at: float
+    last_at: float
+
+
 class Floors:
     """The floors known for one group, ordered by `asked_at`.
 
     `retention` is how long floors are kept, seconds. `highest` is the highest position
     that the leader reported, in a proof or with a commit; no commit acknowledged to
-    this daemon lies beyond it.
+    this daemon lies beyond it. `steps` are the different positions of the floors.
     """
 
     def __init__(self, *, retention):
         self.retention = retention
         self.known = deque()
+        self.steps = deque()
         self.highest = None
 
     def add(self, position, asked_at):
@@ -41,8 +52,47 @@
         if known and known[-1].asked_at >= asked_at:
             return
         known.append(Floor(position=position, asked_at=asked_at))
+        self.add_step(position, asked_at)
         while known[0].asked_at < asked_at - self.retention:
             known.popleft()
+        while self.steps[0].last_at < asked_at - self.retention:
+            self.steps.popleft()
+
+    def add_step(self, position, asked_at):
+        """Add a position to the steps, or extend the last one."""
+        if not self.steps or position > self.steps[-1].position:
+            step = LogStep(position=position, first_at=asked_at, last_at=asked_at)
+            self.steps.append(step)
+        else:
+            self.steps[-1].last_at = asked_at
+
+    def reached_at(self, position):
+        """When the leader's log reached a position, as far as its floors tell.
+
+        Between two known positions the time is interpolated, as other daemons' commits
+        are not seen here. None if the position lies beyond all floors.
+        """
+        if not self.steps or self.steps[-1].position < position:
+            return None
+        after = self.steps[-1]
+        for step in reversed(self.steps):
+            if step.position < position:
+                passed = position.index - step.position.index
+                share = passed / max(1, after.position.index - step.position.index)
+                return step.last_at + min(1.0, share) * (after.first_at - step.last_at)
+            after = step
+        return after.first_at
+
+    def lag_bounds(self, position, asked_at, answered_at):
+        """Bounds of the lag of a replica that showed a position in an answer."""
+        reached = self.reached_at(position)
+        following = self.reached_at(
+            Position(term=position.term, index=position.index + 1)
+        )
+        return LagBounds(
+            least=None if following is None else asked_at - following,
+            greatest=None if reached is None else max(0.0, answered_at - reached),
+        )
 
     def clear(self):
         """Drop all floors because another upstream leads now.
@@ -52,6 +102,7 @@
         until the floor expired.
         """
         self.known.clear()
+        self.steps.clear()
         self.highest = None
 
     def since(self, not_before):
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -109,10 +109,8 @@
     # maximum.
     avoid_backoff_min: float = 0.5
     avoid_backoff_max: float = 4.0
-    # A replica that had not reached a position is not asked for one for this long.
-    lagging_retry_delay: float = 0.05
-    # A replica counts as behind for this long after it last had not reached a position:
-    # ten times lagging_retry_delay.
+    # A replica counts as behind for this long after a read last required a position
+    # that it lacks: under load, such reads are a few milliseconds apart.
     behind_expiry: float = 0.5
     # The replica that is to be promoted catches up with the others within this unless
     # it receives nothing: a few round trips.
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -119,7 +119,11 @@
             clock=self.context.clock,
         )
         self.upstreams[member.id] = Upstream(
-            member=member, pool=pool, admission=admission, mean_time=mean
+            member=member,
+            pool=pool,
+            admission=admission,
+            mean_time=mean,
+            floors=self.floors,
         )
 
     def work_limit(self, member):
@@ -208,8 +212,25 @@
         item = self.upstreams.get(leader)
         return item if item is not None and self.accepts_work(item.member) else None
 
-    def candidate(self, item, now, workspace):
-        """One upstream as a routing candidate."""
+    def hedge_delay(self, item):
+        """Seconds after which a read at an upstream is sent to another one too.
+
+        At one that is slower than others, the time that the others take counts.
+        """
+        tuning = self.context.tuning
+        mean = item.mean_time if item else tuning.initial_mean
+        if item and item.results.needs_probes:
+            mean = min(other.mean_time for other in self.upstreams.values())
+        return max(tuning.hedge_min_delay, tuning.hedge_factor * mean)
+
+    def candidate(
+        self, item, now, workspace, *, suspected=False, probed=False, lagging=False
+    ):
+        """One upstream as a routing candidate.
+
+        `suspected` by its results, `probed` by this read all the same, `lagging` behind
+        the read's floor.
+        """
         member = item.member
         return Candidate(
             id=item.id,
@@ -219,10 +240,11 @@
             is_primary=item.id == self.watch.leader,
             far=member.domain != self.context.domain,
             leaving=not member.active,
-            avoided=now < item.avoid_until,
-            lagging=now < item.lagging_until,
+            avoided=suspected or now < item.avoid_until,
+            lagging=lagging,
             saturated=not item.admission.queue.has_room(now),
             connect_cost=item.pool.dial_cost(workspace),
+            probed=probed,
         )
 
     def takeover_in_progress(self):
--- a/packages/sessions/gypsum_sessions/upstreams/upstream.py
+++ b/packages/sessions/gypsum_sessions/upstreams/upstream.py
@@ -1,23 +1,53 @@
 """State that this daemon keeps for each upstream: speed, last answers, connections."""
 
-from dataclasses import dataclass
+from asyncio import Task
+from contextlib import contextmanager
+from dataclasses import dataclass, field
 
-from gypsum_core.records import Position
+from gypsum_policy.replica_progress import ReplicaProgress
+from gypsum_policy.upstream_health import LATENCY_WEIGHT, UpstreamResults
 from gypsum_sessions.execution.admission import AdmissionQueue
-from gypsum_sessions.replies import NoFreeConnection, UpstreamRefused
+from gypsum_sessions.replies import (
+    NoFreeConnection,
+    Refusal,
+    Reply,
+    UpstreamError,
+    UpstreamRefused,
+)
+from gypsum_sessions.takeover.floors import Floors
 from gypsum_sessions.upstreams.pool import ConnPool
 from gypsum_sessions.upstreams.roster import Member
 
 
+@dataclass(slots=True)
+class MeasuredAttempt:
+    """An attempt at a read whose result counts for the upstream's health."""
+
+    reply: Reply | None = None
+
+    @property
+    def failed(self):
+        """Whether it failed; None if the reply says nothing of the upstream's health.
+
+        An upstream with a full queue or a shorter log is not ill.
+        """
+        if self.reply.ok:
+            return False
+        return True if self.reply.refusal in (Refusal.FAILED, Refusal.TIMEOUT) else None
+
+
 @dataclass(slots=True, kw_only=True)
 class Upstream:
     """One upstream as this daemon sees it.
 
     Statements pass `admission` before they take a connection from `pool`. `mean_time`
-    is the mean time of a statement in seconds. Before `avoid_until` and
-    `lagging_until`, other upstreams are asked first. `position` is the last log
-    position that it reported, `apply_lag` the usual time in seconds from a commit until
-    it is applied there.
+    is the mean time of a statement in seconds. Before `avoid_until`, other upstreams
+    are asked first. `floors` are those of its group; `progress` is how far it has
+    applied the log and `results` how it answered reads. `apply_lag` is the usual time
+    in seconds from a commit until it is applied there, as commits found it.
+    `reads_withheld` counts reads that were not sent to it because it lags, and
+    `position_probes` the queries for its position; `probing` while one is under way.
+    `status_query` is the query for its status that commits wait for.
 
     `last_response_at` is when it last answered anything. `unreachable` says that a
     short query got no answer and nothing has been answered since. `behind_since` and
@@ -29,10 +59,15 @@
     pool: ConnPool
     admission: AdmissionQueue
     mean_time: float
+    floors: Floors
+    progress: ReplicaProgress = field(default_factory=ReplicaProgress)
+    results: UpstreamResults = field(default_factory=UpstreamResults)
+    reads_withheld: int = 0
+    position_probes: int = 0
+    probing: bool = False
+    status_query: Task | None = None
     avoid_until: float = 0.0
     avoid_backoff: float = 0.0
-    lagging_until: float = 0.0
-    position: Position | None = None
     apply_lag: float = 0.0
     unreachable: bool = False
     behind_since: float | None = None
@@ -46,14 +81,53 @@
 
     def record_answer(self, seconds, position, now, tuning):
         """Record an answer to a statement and the time it took."""
-        self.mean_time += tuning.mean_weight * (seconds - self.mean_time)
-        self.position = position or self.position
+        weight = LATENCY_WEIGHT if self.results.needs_probes else tuning.mean_weight
+        self.mean_time += weight * (seconds - self.mean_time)
+        self.record_position(position, now - seconds, now)
         self.behind_since = None
         self.record_response(now)
 
-    def record_behind(self, now, tuning):
-        """Record that it lacked a position that a read required."""
-        self.lagging_until = now + tuning.lagging_retry_delay
+    def record_position(self, position, asked_at, now):
+        """Record the position that an answer showed; None shows nothing."""
+        if position is None:
+            return
+        bounds = self.floors.lag_bounds(position, asked_at, now)
+        self.progress.record_position(position, asked_at, bounds)
+
+    def record_lagging(self, floor, shown, now):
+        """Record that it refused a floor because its log lacks it."""
+        if floor is not None:
+            self.progress.record_refusal(floor, shown, now, self.reached_at(floor, now))
+        self.record_behind(now)
+
+    def record_served(self, floor):
+        """Record that it answered a read with a floor."""
+        if floor is not None:
+            self.progress.record_served(floor)
+
+    def reached_at(self, floor, now):
+        """When the leader had a floor; now, if that is newer than all known floors."""
+        reached = self.floors.reached_at(floor) if floor is not None else now
+        return now if reached is None else reached
+
+    @contextmanager
+    def measure_attempt(self, request, clock):
+        """Measure an attempt at a read; the caller sets its `reply`."""
+        attempt = MeasuredAttempt()
+        key = (request, clock())
+        self.results.start(key, clock())
+        failed = None
+        try:
+            yield attempt
+            failed = attempt.failed
+        except UpstreamError:
+            failed = True
+            raise
+        finally:
+            self.results.finish(key, clock(), failed=failed)
+
+    def record_behind(self, now):
+        """Record that it lacks a position that a read requires."""
         self.last_behind_at = now
         if self.behind_since is None:
             self.behind_since = now
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -94,3 +94,9 @@
     new = replace(PLAIN, id="a", connect_cost=0.012)
     connected = replace(PLAIN, id="b", outstanding=5)
     assert order(new, connected) == ["a", "b"]
+
+
+def test_a_probed_upstream_comes_first_and_other_avoided_ones_last():
+    probed = replace(PLAIN, id="c", avoided=True, probed=True)
+    avoided = replace(PLAIN, id="a", avoided=True)
+    assert order(avoided, replace(PLAIN, id="b"), probed) == ["c", "b", "a"]
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -25,6 +25,7 @@
 # Seconds that a dead member stays listed: until three of its reports are missing.
 LISTED_AFTER_DEATH = 1.5
 ORIGIN = Position(term=0, index=0)
+TURNED_AWAY = frozenset({Refusal.LAGGING, Refusal.BUSY})
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -45,7 +46,10 @@
     `not_receiving`: receives no log for another reason. `lag`: seconds until received
     log is applied. `work`: seconds that a statement takes. `lose_answers`: how many of
     the next answers to statements are lost. `lingering`: number of lost connections
-    that still count towards `limit`.
+    that still count towards `limit`. `fail_every`: one read in so many fails, or gets
+    no answer with `hangs`. `arrivals`, `turned_away`: callers' statements, and those
+    of them that it refused without running them. `status_work`: seconds that a query
+    for its status takes; `status_queries` counts them.
     """
 
     id: str
@@ -65,6 +69,12 @@
     busy: int = 0
     full: bool = False
     lose_answers: int = 0
+    fail_every: int = 0
+    hangs: bool = False
+    status_work: float = 0.0
+    status_queries: int = 0
+    arrivals: int = 0
+    turned_away: int = 0
     conns: list = field(default_factory=list)
     runs: int = 0
     limit: int = 100
@@ -87,10 +97,21 @@
         """The end of the received log."""
         return self.log[-1].position if self.log else ORIGIN
 
+    @property
+    def visible(self):
+        """The last applied position, which answers show."""
+        applied = self.log[: self.applied]
+        return applied[-1].position if applied else ORIGIN
+
     def holds(self, position):
         """Return whether the applied log holds a position."""
         return any(item.position == position for item in self.log[: self.applied])
 
+    def fails(self, statement):
+        """Return whether to fail a statement."""
+        due = self.fail_every and self.arrivals % self.fail_every == 0
+        return due and not statement.writes
+
     def value(self, item):
         """The applied value of an item, empty if it has none."""
         for entry in reversed(self.log[: self.applied]):
@@ -317,6 +338,9 @@
             except UpstreamLost:
                 self.close()
                 raise
+            if request:
+                self.member.arrivals += 1
+                self.member.turned_away += reply.refusal in TURNED_AWAY
             if request and self.member.lose_answers:
                 self.member.lose_answers -= 1
                 self.silent = True
@@ -362,6 +386,8 @@
                 self.prepared.add(statement.name)
                 return self.done()
             case StatementKind.STATUS:
+                member.status_queries += 1
+                await asyncio.sleep(member.status_work)
                 return self.status()
             case StatementKind.PAUSE_REPLICATION:
                 if statement.term > member.group.term and not member.leads:
@@ -390,7 +416,9 @@
         """Run a statement that occupies a slot: a read, a write or a commit."""
         member = self.member
         if member.full:
-            return Reply(refusal=Refusal.BUSY, state=self.state, position=member.end)
+            return Reply(
+                refusal=Refusal.BUSY, state=self.state, position=member.visible
+            )
         executes = statement.kind is StatementKind.EXECUTE
         if executes and statement.name not in self.prepared:
             return self.refuse(Refusal.UNKNOWN_NAME)
@@ -402,6 +430,9 @@
         try:
             await asyncio.sleep(member.work)
             await self.wait_while_silent()
+            if member.fails(statement):
+                self.silent = member.hangs
+                return self.refuse(Refusal.FAILED)
             return await self.effect(statement, request)
         finally:
             member.busy -= 1
@@ -455,18 +486,18 @@
             paused_term=member.paused,
             lag_ms=member.lag * 1000,
         )
-        return Reply(rows=(status,), state=self.state, position=member.end)
+        return Reply(rows=(status,), state=self.state, position=member.visible)
 
     def done(self, rows=(), proof=""):
         """A successful reply."""
-        position = self.member.end
+        position = self.member.visible
         return Reply(rows=rows, proof=proof, state=self.state, position=position)
 
     def refuse(self, refusal):
         """A refusal; it fails an open transaction."""
         if self.state is SessionState.IN_TRANSACTION:
             self.state = SessionState.FAILED
-        return Reply(refusal=refusal, state=self.state, position=self.member.end)
+        return Reply(refusal=refusal, state=self.state, position=self.member.visible)
 
 
 def item_and_data(statement):
--- a/tests/sessions/test_incarnations.py
+++ b/tests/sessions/test_incarnations.py
@@ -101,7 +101,7 @@
         update_lists(rig)
         assert "u2" not in group.upstreams
         assert group.upstreams["u2@2"].pool is not before.pool
-        assert group.upstreams["u2@2"].position is None
+        assert group.upstreams["u2@2"].progress.position is None
 
     run(main())
 
--- /dev/null
+++ b/tests/sessions/test_read_placement.py
@@ -0,0 +1,165 @@
+"""Where reads go while replicas lag, and while an upstream is slow or fails reads.
+
+The load: hundreds of reads a second of three read rules, and writes, over three daemons
+that own the group.
+"""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from tests.sessions.rig import Rig
+from tests.sessions.vclock import run
+
+DAEMONS = 3
+USUAL_LAG = 0.15
+# One in so many operations is a write.
+WRITE_EVERY = 8
+
+
+async def make_rig():
+    """Three owners of a group whose replicas apply late by a usual lag."""
+    rig = Rig(daemons=DAEMONS)
+    for member in rig.group.members:
+        member.slots, member.work = 8, 0.01
+    for member in rig.group.replicas():
+        member.lag = USUAL_LAG
+    await rig.settle()
+    return rig
+
+
+async def run_session(rig, proxy, database, rng, until, results):
+    """One session's operations, one after the other; each read sees its writes."""
+    caller, number = rig.caller(database, proxy), 0
+    item = f"i{caller.number}"
+    while rig.loop.time() < until:
+        await asyncio.sleep(rng.expovariate(8.0))
+        began = rig.loop.time()
+        if rng.randrange(WRITE_EVERY) == 0 and database != "bounded":
+            number += 1
+            reply = await caller.send(f"WRITE {item} {number}")
+        else:
+            reply = await caller.send(f"READ {item}")
+            if reply.ok and database != "bounded":
+                assert reply.rows == ((str(number) if number else ""),)
+        results.append((began, rig.loop.time() - began, reply))
+
+
+def start_load(rig, seconds, results, sessions=20):
+    """Start sessions of each rule at each daemon."""
+    until = rig.loop.time() + seconds
+    return [
+        asyncio.create_task(
+            run_session(rig, proxy, database, Random(number), until, results)
+        )
+        for proxy in rig.proxies
+        for number, database in enumerate(["primary", "bounded", "own"] * sessions)
+    ]
+
+
+def share_turned_away(rig):
+    """The share of all callers' statements that an upstream refused unrun."""
+    members = rig.group.members
+    arrivals = sum(member.arrivals for member in members)
+    return sum(member.turned_away for member in members) / arrivals
+
+
+async def lag_for(rig, lag, seconds):
+    """Let the replicas lag; what they received meanwhile is applied at the end."""
+    for member in rig.group.replicas():
+        member.lag = lag
+    await asyncio.sleep(seconds)
+    for member in rig.group.replicas():
+        member.lag = USUAL_LAG
+        rig.loop.call_later(USUAL_LAG, rig.group.apply, member, len(member.log))
+
+
+def test_replicas_that_lag_for_seconds_turn_few_reads_away():
+    """Guards against sending reads time and again to replicas that lack their floor."""
+
+    async def main():
+        rig = await make_rig()
+        results = []
+        load = start_load(rig, 12.0, results)
+        await asyncio.sleep(3.0)
+        await lag_for(rig, 10.0, 6.0)
+        before = [member.runs for member in rig.group.replicas()]
+        await asyncio.sleep(1.0)
+        after = [member.runs for member in rig.group.replicas()]
+        await asyncio.gather(*load)
+        assert share_turned_away(rig) < 0.02
+        assert all(late - early > 20 for early, late in zip(before, after, strict=True))
+        assert sum(not reply.ok for _, _, reply in results) < 0.01 * len(results)
+
+    run(main())
+
+
+def mean_time(results, since):
+    """The mean time of the reads and writes begun since a moment."""
+    times = [seconds for began, seconds, _ in results if began >= since]
+    return sum(times) / len(times)
+
+
+async def run_with_fault(rig, fault, repair):
+    """Load with a faulty replica for four seconds, then without; returns results.
+
+    Also returns the replica's share of the replicas' reads: during the fault after its
+    first second, and after the repair's first two seconds.
+    """
+    results, shares = [], []
+    load = start_load(rig, 10.0, results, sessions=12)
+    await asyncio.sleep(2.0)
+    for change, pause, length in ((fault, 1.0, 3.0), (repair, 2.0, 1.5)):
+        change(rig.group["u2"])
+        await asyncio.sleep(pause)
+        before = [member.runs for member in rig.group.replicas()]
+        await asyncio.sleep(length)
+        after = [member.runs for member in rig.group.replicas()]
+        grown = [late - early for early, late in zip(before, after, strict=True)]
+        shares.append(grown[0] / sum(grown))
+    await asyncio.gather(*load)
+    return results, shares
+
+
+def make_slow(member):
+    """Let a member take eight times as long for each statement."""
+    member.work = 0.24
+
+
+def make_failing(member):
+    """Let a member fail a third of its reads."""
+    member.fail_every = 3
+
+
+def make_hanging(member):
+    """Let a member leave a third of its reads unanswered."""
+    member.fail_every, member.hangs = 3, True
+
+
+def repair(member):
+    """End a member's fault."""
+    member.fail_every, member.hangs, member.work = 0, False, 0.03
+
+
+@pytest.mark.parametrize("fault", [make_slow, make_failing, make_hanging])
+def test_a_faulty_replica_gets_few_reads_until_it_has_recovered(fault):
+    """Guards against reads at an upstream that is slow, or fails part of them."""
+
+    async def main():
+        rig = await make_rig()
+        for member in rig.group.members:
+            member.work, member.slots = 0.03, 12
+        results, (during, after) = await run_with_fault(rig, fault, repair)
+        print(
+            during,
+            after,
+            sum(not r.ok for _, _, r in results),
+            len(results),
+            mean_time(results, 3.0),
+        )
+        assert during < 0.1
+        assert after > 0.25
+        assert all(reply.ok for _, _, reply in results)
+
+    run(main())
