Commits that wait together share the queries for a replica's status

Cause: while replicas lag, each commit asked one or two replicas what they have received, which takes a slot; rounds that are repeated left earlier queries running. Change: one query for each replica at a time; a commit that joins one under way asks once more if that was answered too early for its position.

--- a/packages/sessions/gypsum_sessions/execution/confirm.py
+++ b/packages/sessions/gypsum_sessions/execution/confirm.py
@@ -118,7 +118,7 @@
         await asyncio.sleep(pause * ranked.index(item))
         if Evidence.HELD in found:
             return Evidence.UNKNOWN
-        found.append(await ask_one(group, item, position, ask_received))
+        found.append(await ask_received(group, item, position))
         return found[-1]
 
     return await gather_evidence(group, ranked, ask_after)
@@ -224,13 +224,56 @@
     return Evidence.LACKING if begun.refusal is Refusal.LAGGING else Evidence.UNKNOWN
 
 
-async def ask_received(item, conn, position, tuning):
-    """Whether a replica has received a position that it may not have applied yet."""
+async def ask_received(group, item, position):
+    """Whether a replica has received a position that it may not have applied yet.
+
+    All commits that wait share one query for a replica's status, since each query takes
+    a slot there. One that was under way before may have been answered too early for
+    this position, and is followed by another.
+    """
+    joined = item.status_query is not None
+    found = evidence_of(await share_status(group, item), position)
+    if joined and found is Evidence.LACKING:
+        found = evidence_of(await share_status(group, item), position)
+    return found
+
+
+async def share_status(group, item):
+    """The status in answer to the query under way, or to a new one; None: no answer.
+
+    The query goes on if a commit that waits for it is cancelled.
+    """
+    if item.status_query is None:
+        item.status_query = asyncio.create_task(query_status(group, item))
+        group.track_tasks([item.status_query])
+    return await asyncio.shield(item.status_query)
+
+
+async def query_status(group, item):
+    """Ask a replica for its status; None if it gives none."""
+    statuses = []
+    try:
+        await ask_one(group, item, statuses, ask_status)
+    finally:
+        item.status_query = None
+    return statuses[0] if statuses else None
+
+
+async def ask_status(item, conn, statuses, tuning):
+    """Append a replica's status to a list, if it is not too busy to tell."""
     reply = await conn.ask(STATUS, timeout=tuning.ping_timeout)
     if not reply.ok:
         return Evidence.UNKNOWN
     status = conn.read_status(reply)
     item.record_apply_lag(status.lag_ms / 1000, tuning)
+    statuses.append(status)
+    return Evidence.HELD
+
+
+def evidence_of(status, position):
+    """Whether a replica with a status has received a position; None is no answer."""
+    if status is None:
+        return Evidence.UNKNOWN
     received = status.received
     # A log end in another term proves nothing: the position may have been discarded.
     same_term = received.term == position.term
--- a/tests/sessions/test_lagging.py
+++ b/tests/sessions/test_lagging.py
@@ -4,6 +4,8 @@
 and callers that write sequentially.
 """
 
+import asyncio
+
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
@@ -87,3 +89,20 @@
         return status()
 
     return counted
+
+
+def test_commits_that_wait_together_share_the_queries_for_a_replicas_status():
+    """Guards against commits that fill the slots of busy replicas with queries."""
+
+    async def main():
+        rig = await make_lagging_rig()
+        await measure(rig, "WRITE a", 6)
+        for member in rig.group.replicas():
+            member.status_work, member.status_queries = 0.03, 0
+        callers = [rig.caller("own") for _ in range(20)]
+        replies = await asyncio.gather(*(each.send("WRITE b 1") for each in callers))
+        asked = sum(member.status_queries for member in rig.group.replicas())
+        assert all(reply.ok for reply in replies)
+        assert asked <= len(callers)
+
+    run(main())
