--- a/packages/sessions/gypsum_sessions/takeover/floors.py
+++ b/packages/sessions/gypsum_sessions/takeover/floors.py
@@ -83,6 +83,11 @@
             after = step
         return after.first_at
 
+    def reached_or_now(self, position, now):
+        """When the leader reached a position; now, if that is newer than its floors."""
+        reached = self.reached_at(position) if position is not None else None
+        return now if reached is None else reached
+
     def lag_bounds(self, position, asked_at, answered_at):
         """Bounds of the lag of a replica that showed a position in an answer."""
         reached = self.reached_at(position)
--- a/packages/sessions/gypsum_sessions/upstreams/readplacement.py
+++ b/packages/sessions/gypsum_sessions/upstreams/readplacement.py
@@ -23,26 +23,28 @@
     the read may try an upstream that is avoided.
     """
     now, tuning = group.context.clock(), group.context.tuning
+    reached_at = group.floors.reached_or_now(job.floor, now)
     job.left_out = {}
-    ready, late = [], []
+    ready, late, soon = [], [], False
     for item in group.upstreams.values():
         if not group.accepts_work(item.member):
             continue
-        readiness = readiness_of(group, item, job.floor, now)
+        readiness = readiness_of(group, item, job.floor, reached_at, now)
         if readiness in READY:
             ready.append(item)
             continue
         withhold(group, item, job, readiness, now)
-        wait = item.progress.ready_in(item.reached_at(job.floor, now), now)
-        if readiness is Readiness.UNKNOWN or (
-            readiness is Readiness.SOON and wait <= tuning.hedge_min_delay
-        ):
-            late.append((item, readiness))
+        in_time = item.progress.ready_in(reached_at, now) <= tuning.hedge_min_delay
+        if readiness is Readiness.UNKNOWN:
+            late.append(item)
+        elif readiness is Readiness.SOON and in_time:
+            late.append(item)
+            soon = True
     suspects = judge(group, ready, job, now)
     usable = [
         item for item in ready if item.id not in suspects and now >= item.avoid_until
     ]
-    if not usable and any(readiness is Readiness.SOON for _, readiness in late):
+    if soon and not usable:
         return []
     probed = probe_target(group, job, ready, usable, now) if may_probe else None
     order = order_for_read(
@@ -61,16 +63,16 @@
     if probed is not None:
         probed.results.start_probe(now)
     return order + order_for_read(
-        [group.candidate(item, now, job.workspace, lagging=True) for item, _ in late],
+        [group.candidate(item, now, job.workspace, lagging=True) for item in late],
         far_cost=tuning.far_cost,
     )
 
 
-def readiness_of(group, item, floor, now):
+def readiness_of(group, item, floor, reached_at, now):
     """Whether an upstream has a floor; the primary has every floor."""
     if item.id == group.watch.leader:
         return Readiness.SHOWN
-    return item.progress.readiness(floor, item.reached_at(floor, now), now)
+    return item.progress.readiness(floor, reached_at, now)
 
 
 def withhold(group, item, job, readiness, now):
--- a/packages/sessions/gypsum_sessions/upstreams/upstream.py
+++ b/packages/sessions/gypsum_sessions/upstreams/upstream.py
@@ -97,7 +97,8 @@
     def record_lagging(self, floor, shown, now):
         """Record that it refused a floor because its log lacks it."""
         if floor is not None:
-            self.progress.record_refusal(floor, shown, now, self.reached_at(floor, now))
+            reached_at = self.floors.reached_or_now(floor, now)
+            self.progress.record_refusal(floor, shown, now, reached_at)
         self.record_behind(now)
 
     def record_served(self, floor):
@@ -105,11 +106,6 @@
         if floor is not None:
             self.progress.record_served(floor)
 
-    def reached_at(self, floor, now):
-        """When the leader had a floor; now, if that is newer than all known floors."""
-        reached = self.floors.reached_at(floor) if floor is not None else now
-        return now if reached is None else reached
-
     @contextmanager
     def measure_attempt(self, request, clock):
         """Measure an attempt at a read; the caller sets its `reply`."""
