--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -64,7 +64,8 @@
     estimated queueing time in seconds if the statement was refused because of it.
     `unable`: nothing ran, for a reason that concerns this owner only, so another owner
     may be able to run it. `orphaned`: an attempt was sent to an upstream, and the owner
-    can't tell whether it still runs.
+    can't tell whether it still runs. `left_out` gives the reason for each upstream that
+    a read was last not sent to.
     """
 
     call: int
@@ -78,6 +79,7 @@
     unfinished: float = 0.0
     queue: float = 0.0
     orphaned: bool = False
+    left_out: dict[str, str] = {}
 
 
 class ReadEnded(Struct, frozen=True, kw_only=True, array_like=True, tag="read ended"):
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -294,6 +294,7 @@
     job.served_by = answer.served_by
     job.role = answer.role
     job.floor, job.floor_age = answer.floor, answer.floor_age
+    job.left_out = answer.left_out
     return answer.reply
 
 
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -180,6 +180,7 @@
                 queue=job.queue_wait,
                 unable=may_run_elsewhere(request, job, reply),
                 orphaned=job.orphaned,
+                left_out=job.left_out,
             )
         )
         if request.hears_ends and job.running:
--- a/tests/sessions/test_metrics.py
+++ b/tests/sessions/test_metrics.py
@@ -112,3 +112,24 @@
     names = {labels["workspace"] for labels, _ in metrics.by_workspace.get_all()}
     assert len(names) == MAX_NAMED_WORKSPACES + 1
     assert OTHER_WORKSPACES in names
+
+
+def test_an_operator_sees_which_reads_a_lagging_replica_did_not_get():
+    async def main():
+        rig = Rig()
+        for member in rig.group.replicas():
+            member.lag = 1.0
+        await rig.settle()
+        metrics, caller = SessionMetrics(), rig.caller("own")
+        for number in range(3):
+            await caller.send(f"WRITE a {number}")
+            assert (await caller.send("READ a")).rows == (str(number),)
+        metrics.collect(rig.proxy, 0)
+        return metrics.render([])[0].decode(), rig.lines
+
+    text, lines = run(main())
+    withheld = 'gypsum_upstream{group="db",upstream="u2",what="reads_withheld"}'
+    assert f"{withheld} 0" not in text
+    assert withheld in text
+    assert 'what="lag_seconds"' in text
+    assert any(fields.get("left_out") for *_, fields in lines)
