--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -33,7 +33,9 @@
     was sent and nothing will tell any more whether it ran, or whether it still does.
     `queue_wait` is the queue's wait in seconds for which the job was refused.
     `credential` is what its caller was authenticated with. `left_out` gives the reason
-    for each upstream that a read was last not sent to.
+    for each upstream that a read was last not sent to. `maybe_run` counts attempts that
+    were sent to an upstream which did not report them as not run. `abandoned` is set
+    once the caller has left; `withdrawals` end the job's waits for admission then.
     """
 
     request: str
@@ -56,21 +58,46 @@
     queue_wait: float = 0.0
     credential: Credential = ANONYMOUS
     left_out: dict[str, str] = field(default_factory=dict)
+    maybe_run: int = 0
+    abandoned: bool = False
+    withdrawals: set = field(default_factory=set)
 
     @property
     def workspace(self):
         """Workspace that the statement runs for; empty if callers need no key."""
         return self.credential.workspace
 
-    def admission_request(self):
-        """Priority, target time and deadline that decide its place in the queue."""
+    def admission_request(self, kind=None):
+        """Priority, target time, deadline and kind, which decide its place in a queue.
+
+        `kind` replaces its own for a statement that the proxy sends for it.
+        """
         started_at = self.deadline - self.route.statement_timeout
         return AdmissionRequest(
             priority=self.route.priority,
             target_time=started_at + self.route.latency_target,
             deadline=self.deadline,
+            kind=kind or self.kind,
         )
 
+    @property
+    def kind(self):
+        """Key of the statements that take about as long as this one."""
+        if self.statement.commits:
+            return (self.route.name, "commit")
+        return (self.route.name, "write" if self.statement.writes else "read")
+
+    def abandon(self):
+        """Give up the job because its caller has left; safe to call at any time.
+
+        Attempts that wait for admission leave their queues at once and are never sent.
+        What was sent runs to its end and is accounted for. A transaction is not ended
+        here: its owner rolls it back.
+        """
+        self.abandoned = True
+        for withdraw in list(self.withdrawals):
+            withdraw()
+
     @property
     def running(self):
         """Whether attempts of which the end will be known still run."""
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -3,10 +3,13 @@
 import asyncio
 
 from gypsum_policy.admission import QueueTimeout
+from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.execution.reads import (
+    abandoned_reply,
     key_withdrawn_reply,
+    log_refused,
     no_leader_reply,
     overloaded_reply,
 )
@@ -41,7 +44,7 @@
     context, clock = group.context, group.context.clock
     wait_until = clock() + job.time_left(clock) * context.tuning.leader_wait_share
     last = None
-    while clock() < wait_until:
+    while clock() < wait_until and not job.abandoned:
         item = await group.wait_writable(wait_until - clock())
         if item is None:
             break
@@ -50,12 +53,20 @@
             return cannot_confirm_reply(context.tuning)
         job.tried.append(item.id)
         try:
-            async with item.admission.enqueue(job.admission_request()):
+            queued = item.admission.enqueue(job, usable=leads(group, item))
+            async with queued as place:
                 if not context.catalog.is_valid(job.credential):
                     return key_withdrawn_reply()
                 reply = await try_write(group, job, item)
+                if not reply.ok:
+                    place.release()
         except QueueTimeout as exc:
+            log_refused(group, job, item, exc)
             return overloaded_reply(job, exc.wait)
+        except UpstreamUnusable:
+            continue
+        except JobAbandoned:
+            return abandoned_reply(job)
         except OutOfTime:
             return out_of_time_reply(context.tuning)
         except NotSent as exc:
@@ -71,6 +82,8 @@
         else:
             group.watch.recheck(item.id)
         await asyncio.sleep(REFUSED_PAUSE)
+    if job.abandoned:
+        return abandoned_reply(job)
     if last is None:
         return no_leader_reply(context.tuning)
     return Reply(
@@ -80,8 +93,16 @@
     )
 
 
+def leads(group, item):
+    """Return a check of whether an upstream is still the group's primary.
+
+    Statements that wait for a lost primary look for the next one instead.
+    """
+    return lambda: group.watch.leader == item.id
+
+
 async def try_write(group, job, item):
-    """One attempt at the leader; raises NotSent or OutOfTime if it was not sent.
+    """One attempt; raises NotSent, OutOfTime or JobAbandoned if it was not sent.
 
     A write that is sent with no time left is in doubt at once, although nobody waits
     for it any more.
@@ -94,7 +115,10 @@
         except UpstreamError as exc:
             group.watch.recheck(item.id)
             raise NotSent(str(exc)) from exc
-        if job.time_left(clock) < MIN_WRITE_TIME:
+        if job.abandoned:
+            raise JobAbandoned
+        too_late = job.time_left(clock) < MIN_WRITE_TIME
+        if too_late or not item.admission.has_time(job):
             raise OutOfTime
         asked_at = clock()
         stall_id = group.stall.begin(asked_at)
@@ -113,6 +137,7 @@
             item.record_answer(
                 clock() - asked_at, reply.position, clock(), context.tuning
             )
+            item.admission.record_answer(job.kind, clock() - asked_at)
             if not await is_confirmed(
                 group, reply.position, item.id, timeout=job.time_left(clock)
             ):
