--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -65,7 +65,10 @@
     `unable`: nothing ran, for a reason that concerns this owner only, so another owner
     may be able to run it. `orphaned`: an attempt was sent to an upstream, and the owner
     can't tell whether it still runs. `left_out` gives the reason for each upstream that
-    a read was last not sent to.
+    a read was last not sent to. `accepts_abandon`: the owner understands
+    `AbandonStatement`. `wait_ms`: expected wait at this owner for the same kind of work
+    of the same workspace, 0 if it would start at once; `pace_ms`: the time that each
+    further statement adds to it.
     """
 
     call: int
@@ -80,6 +83,21 @@
     queue: float = 0.0
     orphaned: bool = False
     left_out: dict[str, str] = {}
+    accepts_abandon: bool = False
+    wait_ms: int = 0
+    pace_ms: int = 0
+
+
+class AbandonStatement(
+    Struct, frozen=True, kw_only=True, array_like=True, tag="abandon"
+):
+    """The caller of a statement has left: don't start it if it is not running yet.
+
+    The statement is still answered. Sent only to an owner that has shown, by
+    `accepts_abandon`, that it understands the message.
+    """
+
+    call: int
 
 
 class ReadEnded(Struct, frozen=True, kw_only=True, array_like=True, tag="read ended"):
@@ -226,6 +244,7 @@
     | Heartbeat
     | FetchList
     | ListPiece
+    | AbandonStatement
 )
 
 
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -4,8 +4,11 @@
 the callers that wait for it.
 """
 
+from functools import partial
+
 from gypsum_policy.revisions import era_of, number_of
 from gypsum_sessions.daemons.usage import OutcomeCounts
+from gypsum_sessions.loadmetrics import LoadMetrics
 from gypsum_sessions.replies import Reply
 from gypsum_sessions.statements import Statement
 
@@ -92,6 +95,7 @@
             "Transactions that were rolled back because this daemon was told to stop.",
             registry=self.registry,
         )
+        self.load = LoadMetrics(gauge=partial(Gauge, registry=self.registry))
         self.feeds = Gauge(
             "gypsum_feed",
             "Each feed: revision known here and at the watcher, behind it, store lost.",
@@ -127,6 +131,7 @@
         self.state.set({"what": "lines_dropped"}, dropped_lines)
         self.drain_rollbacks.set({}, proxy.drain_rollbacks)
         self.collect_usage(proxy.usage)
+        self.load.collect(proxy)
         for name, feed in proxy.feed_follower.feeds.items():
             vouched = number_of(feed.state.revision) if feed.state else -1
             self.feeds.set({"feed": name, "what": "era"}, era_of(feed.known))
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -16,8 +16,9 @@
     ),
     "StatementResponse": (
         "call reply tried served_by role floor floor_age unable unfinished queue "
-        "orphaned left_out"
+        "orphaned left_out accepts_abandon wait_ms pace_ms"
     ),
+    "AbandonStatement": "call",
     "ReadEnded": "call orphaned",
     "EndTransaction": "transaction",
     "Leaving": "opens_for",
