Caps: urgent operations first, whole windows, grants ahead of time

Cause: a home granted in order of arrival, so at a workspace's cap a burst of the lowest priority used up the tokens and the urgent operations were refused with it. Once the burst was spent, the token bucket let `rate` through where the cap says rate x 5 + burst in any five seconds.

Change: a request tells how many operations of each priority wait and how long they may. The home keeps a reserve for the recent demand of more urgent priorities, owes each priority that waits a twentieth of the rate, adds what the sliding window leaves beside the rate, and grants ahead of time what begins within a quarter of the latency target. Retry times of the refused follow each other at the rate at which their priority is served. A refusal is reused for its priority only. Daemons report to a home what others granted them within the window.

Tests of existing behaviour are unchanged but for the order of message fields.

--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -6,6 +6,7 @@
 from gypsum_core.records import Position
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_policy.ratelimit import refusal_retry_ms
+from gypsum_policy.usagebucket import patience
 from gypsum_sessions.callers.access import OpenTransaction
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.execution.jobs import Job
@@ -107,13 +108,20 @@
         await self.end_transaction()
         return self.refuse(Refusal.ABORTED, f"rolled back, {KEY_WITHDRAWN}")
 
-    async def check_cap(self, request):
+    async def check_cap(self, request, route, arrived):
         """Return a refusal if the workspace is over its cap, or None.
 
         Called once for each operation, before it waits for anything else.
         """
         workspace = self.credential.workspace
-        wait = await self.proxy.usage.acquire(workspace) if workspace else 0.0
+        if not workspace:
+            return None
+        wait = await self.proxy.usage.acquire(
+            workspace,
+            priority=route.priority,
+            target_time=arrived + route.latency_target,
+            patience=patience(route.latency_target, route.statement_timeout),
+        )
         if not wait:
             return None
         return Reply(
@@ -223,7 +231,7 @@
         access = self.proxy.access(route.group)
         if access is None:
             return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
-        over_cap = await self.check_cap(request)
+        over_cap = await self.check_cap(request, route, arrived)
         if over_cap is not None:
             return over_cap
         self.tx = access.begin(route=route, writes=statement.writes, arrived=arrived)
@@ -293,7 +301,7 @@
         access = self.proxy.access(job.route.group)
         if access is None:
             return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
-        over_cap = await self.check_cap(job.request)
+        over_cap = await self.check_cap(job.request, job.route, job.arrived)
         if over_cap is not None:
             return over_cap
         if job.statement.writes:
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -131,7 +131,10 @@
     """Request permission to begin a number of operations of a workspace.
 
     `cap` is the cap known to the requesting daemon. `forwarded`: that daemon was itself
-    asked by another one.
+    asked by another one. `waiting` tells for each priority how many operations wait and
+    how many seconds they may wait to begin. `elsewhere` has the operations that other
+    homes granted to the `reporter` within the last window and that the receiver has not
+    confirmed: the granter, a number of the time slot, how many seconds ago, how many.
     """
 
     call: int
@@ -139,14 +142,24 @@
     wanted: int
     cap: Cap
     forwarded: bool = False
+    waiting: tuple[tuple[int, int, float], ...] = ()
+    reporter: str = ""
+    elsewhere: tuple[tuple[str, int, float, int], ...] = ()
 
 
 class GrantResponse(Struct, frozen=True, kw_only=True, array_like=True, tag="leave"):
-    """Number of operations granted; the next one may begin after `wait` seconds."""
+    """Number of operations granted; the next one may begin after `wait` seconds.
+
+    `granter` is the daemon that granted them. `priorities` has for each priority of the
+    request how many may begin at once, after how many seconds each further one may
+    begin, and when the first refused one should return.
+    """
 
     call: int
     granted: int
     wait: float = 0.0
+    granter: str = ""
+    priorities: tuple[tuple[int, int, tuple[float, ...], float], ...] = ()
 
 
 class Follow(Struct, frozen=True, kw_only=True, array_like=True, tag="follow"):
--- a/packages/sessions/gypsum_sessions/daemons/usage.py
+++ b/packages/sessions/gypsum_sessions/daemons/usage.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+
+from msgspec.structs import replace
 
 from gypsum_policy.ratelimit import (
     INITIAL_TOKENS,
@@ -16,8 +17,16 @@
     isolated_cap,
     standby_cap,
 )
+from gypsum_policy.usagebucket import Demand, WorkspaceBucket
+from gypsum_policy.usagewindow import ReceivedGrants, slot_end
 from gypsum_sessions.daemons.homes import ANSWER_TIMEOUT, FORWARD_TIMEOUT, PART, Homes
 from gypsum_sessions.daemons.peermessages import GrantRequest, GrantResponse
+from gypsum_sessions.daemons.usagewaiters import (
+    OutcomeCounts,
+    Verdict,
+    Waiter,
+    waiting_by_priority,
+)
 
 # A standby that was not asked for this long starts with a new bucket, seconds: the home
 # has granted operations meanwhile.
@@ -28,14 +37,6 @@
 MIN_WAIT = 0.001
 
 
-@dataclass(slots=True, kw_only=True)
-class OutcomeCounts:
-    """Numbers of a workspace's operations granted and refused at this daemon."""
-
-    granted: int = 0
-    refused: int = 0
-
-
 class UsageLimiter:
     """Requests grants for this daemon's callers, and grants operations as a home."""
 
@@ -57,10 +58,14 @@
         self.buckets = {}
         # Buckets of what this daemon grants while it reaches no home.
         self.isolated_buckets = {}
+        # Grants that this daemon's callers received, by workspace.
+        self.received = {}
         self.waiters = {}
         self.request_tasks = {}
+        # Until when a refusal is reused, by workspace and priority.
         self.refused_until = {}
         self.outcomes = {}
+        self.outcomes_by_priority = {}
 
     def daemons_changed(self):
         """Record that the list of daemons changed, and with it perhaps the homes."""
@@ -77,110 +82,227 @@
         for bucket in self.buckets.values():
             bucket.refill(now)
             bucket.tokens = min(bucket.tokens, INITIAL_TOKENS)
+            bucket.distrust(now)
 
     # For this daemon's callers
 
-    async def acquire(self, workspace):
-        """Request one operation; returns 0 if it may run, else the seconds to wait."""
+    async def acquire(self, workspace, *, priority=0, target_time=0.0, patience=0.0):
+        """Request one operation; returns 0 if it may run, else the seconds to wait.
+
+        An operation that may begin within `patience` seconds waits here until then.
+        """
         if self.catalog.cap(workspace) is None:
             return 0.0
-        wait = self.refused_until.get(workspace, 0.0) - self.clock()
-        if wait <= 0:
-            wait = await self.join_batch(workspace)
-        self.record_outcome(workspace, wait)
-        return wait
+        left = self.refused_until.get((workspace, priority), 0.0) - self.clock()
+        verdict = Verdict(granted=False, wait=left)
+        if left <= 0:
+            verdict = await self.join_batch(workspace, priority, target_time, patience)
+        self.record_outcome(workspace, priority, verdict)
+        if not verdict.granted:
+            return max(verdict.wait, MIN_WAIT)
+        if verdict.wait:
+            await asyncio.sleep(verdict.wait)
+        return 0.0
 
-    async def join_batch(self, workspace):
+    async def join_batch(self, workspace, priority, target_time, patience):
         """Wait for the answer to the next request for a workspace."""
-        fut = asyncio.get_running_loop().create_future()
-        self.waiters.setdefault(workspace, []).append(fut)
+        waiter = Waiter(
+            priority=priority,
+            target_time=target_time,
+            patience=patience,
+            fut=asyncio.get_running_loop().create_future(),
+        )
+        self.waiters.setdefault(workspace, []).append(waiter)
         if workspace not in self.request_tasks:
             task = asyncio.create_task(self.request_batches(workspace))
             self.request_tasks[workspace] = task
-        return await fut
+        return await waiter.fut
 
     async def request_batches(self, workspace):
         """Send requests for all waiting operations until none are left."""
-        waiters = []
+        batch = []
         try:
             while waiters := self.waiters.pop(workspace, []):
-                answer = await self.request_grant(
-                    workspace, min(len(waiters), MAX_BATCH)
-                )
-                self.resolve(workspace, waiters, answer)
+                live = [waiter for waiter in waiters if not waiter.fut.done()]
+                live.sort(key=lambda waiter: (waiter.priority, waiter.target_time))
+                batch, later = live[:MAX_BATCH], live[MAX_BATCH:]
+                if later:
+                    self.waiters[workspace] = later
+                if batch:
+                    self.resolve(workspace, batch, await self.request(workspace, batch))
         finally:
             # On an unexpected error too, no waiter is left pending.
             del self.request_tasks[workspace]
-            left = waiters + self.waiters.pop(workspace, [])
-            self.resolve(
+            left = batch + self.waiters.pop(workspace, [])
+            self.refuse(
                 workspace,
-                left,
-                GrantResponse(call=0, granted=0, wait=REFUSAL_VALID_FOR),
+                [waiter for waiter in left if not waiter.fut.done()],
+                REFUSAL_VALID_FOR,
             )
 
-    def resolve(self, workspace, waiters, answer):
-        """Let the granted operations run, and refuse the others."""
-        live = [fut for fut in waiters if not fut.done()]
-        for fut in live[: answer.granted]:
-            fut.set_result(0.0)
-        for fut in live[answer.granted :]:
-            fut.set_result(max(answer.wait, MIN_WAIT))
-        if answer.granted < len(waiters):
-            pause = min(answer.wait, REFUSAL_VALID_FOR)
-            self.refused_until[workspace] = self.clock() + pause
-
-    def record_outcome(self, workspace, wait):
+    async def request(self, workspace, batch):
+        """Request grants for waiting operations; returns a GrantResponse."""
+        cap = self.catalog.cap(workspace)
+        if cap is None:
+            return GrantResponse(call=0, granted=len(batch))
+        request = GrantRequest(
+            call=0,
+            workspace=workspace,
+            wanted=len(batch),
+            cap=cap,
+            waiting=waiting_by_priority(batch),
+        )
+        return await self.request_grant(request)
+
+    def resolve(self, workspace, batch, answer):
+        """Let the granted operations run, and refuse the others.
+
+        Within a priority, those with the earliest target time begin first. A home of an
+        earlier version, and an isolated daemon, only tell how many may begin.
+        """
+        if not answer.priorities:
+            self.admit(batch, (0.0,) * answer.granted)
+            self.refuse(workspace, batch[answer.granted :], answer.wait)
+            return
+        for priority, ready, delays, wait in answer.priorities:
+            group = [waiter for waiter in batch if waiter.priority == priority]
+            self.admit(group, (0.0,) * ready + delays)
+            self.refuse(workspace, group[ready + len(delays) :], wait)
+
+    def admit(self, waiters, delays):
+        """Let as many operations begin as there are delays, each after its own."""
+        for waiter, delay in zip(waiters, delays, strict=False):
+            waiter.resolve(Verdict(granted=True, wait=delay))
+
+    def refuse(self, workspace, waiters, wait):
+        """Refuse operations, and others of their priorities for a short time."""
+        for waiter in waiters:
+            waiter.resolve(Verdict(granted=False, wait=wait))
+            until = self.clock() + min(wait, REFUSAL_VALID_FOR)
+            self.refused_until[workspace, waiter.priority] = until
+
+    def record_outcome(self, workspace, priority, verdict):
         """Count an outcome; log the first refusal, and the end of refusals."""
-        outcome = self.outcomes.setdefault(workspace, OutcomeCounts())
-        if not wait:
-            outcome.granted += 1
-            if self.refused_until.pop(workspace, None) is not None:
-                self.log(PART, "let in again", workspace=workspace)
+        key = (workspace, priority)
+        for outcome in (
+            self.outcomes.setdefault(workspace, OutcomeCounts()),
+            self.outcomes_by_priority.setdefault(priority, OutcomeCounts()),
+        ):
+            outcome.granted += verdict.granted
+            outcome.booked += verdict.granted and verdict.wait > 0
+            outcome.refused += not verdict.granted
+        if verdict.granted:
+            if self.refused_until.pop(key, None) is not None:
+                self.log(PART, "let in again", workspace=workspace, priority=priority)
             return
-        outcome.refused += 1
-        if outcome.refused == 1:
+        if self.outcomes[workspace].refused == 1:
             self.log(
                 PART,
                 "over its cap",
                 workspace=workspace,
+                priority=priority,
                 version=self.catalog.version,
-                wait_ms=round(wait * 1000),
+                wait_ms=round(verdict.wait * 1000),
             )
 
     # Requests to homes, and requests of other daemons
 
-    async def request_grant(self, workspace, wanted, *, cap=None, forwarded=False):
+    async def request_grant(self, request):
         """Ask the homes in order; returns a GrantResponse.
 
-        If this daemon is next in order, it grants the operations itself. `cap` and
-        `forwarded` are set for another daemon's request.
+        If this daemon is next in order, it grants the operations itself. `forwarded` is
+        set in another daemon's request.
         """
-        cap = self.newer_cap(workspace, cap)
+        workspace, forwarded = request.workspace, request.forwarded
+        cap = self.newer_cap(workspace, request.cap)
         if cap is None:
-            return GrantResponse(call=0, granted=wanted)
-        timeout = FORWARD_TIMEOUT if forwarded else ANSWER_TIMEOUT
+            return GrantResponse(call=0, granted=request.wanted)
+        request = replace(request, cap=cap)
         homes = self.homes.for_workspace(workspace)
         for rank, name in enumerate(homes):
             if name == self.daemons.own.id:
                 if not forwarded and not await self.homes.is_connected(workspace):
                     break
-                return self.grant_as_home(workspace, wanted, cap, rank)
-            answer = await self.homes.request(
-                name,
-                lambda call: GrantRequest(
-                    call=call,
-                    workspace=workspace,
-                    wanted=wanted,
-                    cap=cap,
-                    forwarded=forwarded,
-                ),
-                timeout=timeout,
-            )
+                answer = await self.confirm_standby(request, homes, rank)
+                return answer or self.grant_locally(request, cap, rank)
+            answer = await self.request_from(name, request)
             if answer is not None:
                 return answer
         if forwarded:
-            return self.grant_as_home(workspace, wanted, cap, len(homes))
-        return self.grant_isolated(workspace, wanted, cap)
+            return self.grant_locally(request, cap, len(homes))
+        return self.grant_isolated(workspace, request.wanted, cap)
+
+    async def confirm_standby(self, request, homes, rank):
+        """As a standby, let the next home ask those before it once more.
+
+        Its answer, or None if this daemon is the home, was asked by another daemon or
+        no next home answers. A standby that was cut off itself would otherwise grant
+        beside the home until it has found it again.
+        """
+        if not rank or request.forwarded:
+            return None
+        for name in homes[rank + 1 :]:
+            answer = await self.request_from(name, request)
+            if answer is not None:
+                return answer
+        return None
+
+    async def request_from(self, name, request):
+        """Send a request to a home; returns its answer, or None without one.
+
+        The home is sent the grants by others that it doesn't know of yet.
+        """
+        received, report = self.report_for(name, request)
+        request = self.with_report(request, report)
+        timeout = FORWARD_TIMEOUT if request.forwarded else ANSWER_TIMEOUT
+        answer = await self.homes.request(
+            name, lambda call: replace(request, call=call), timeout=timeout
+        )
+        if answer is not None and received is not None:
+            granter = answer.granter or name
+            received.mark_reported(granter, report)
+            self.record_received(received, granter, answer)
+        return answer
+
+    def grant_locally(self, request, cap, rank):
+        """Grant as home or standby to this daemon's callers or another daemon's."""
+        own = self.daemons.own.id
+        received, report = self.report_for(own, request)
+        request = self.with_report(request, report)
+        answer = self.grant_as_home(request, request.wanted, cap, rank)
+        if received is not None:
+            received.mark_reported(own, report)
+            self.record_received(received, own, answer)
+        return answer
+
+    def report_for(self, home, request):
+        """The grants received here, and those that a home doesn't know of.
+
+        For another daemon's request (None, {}): that daemon reports its own.
+        """
+        if request.forwarded:
+            return None, {}
+        received = self.received.setdefault(request.workspace, ReceivedGrants())
+        return received, received.report_for(home, self.clock())
+
+    def with_report(self, request, report):
+        """The request with this daemon's report, if it has one."""
+        if not report:
+            return request
+        now = self.clock()
+        elsewhere = tuple(
+            (granter, slot, now - slot_end(slot), count)
+            for (slot, granter), count in report.items()
+        )
+        return replace(request, reporter=self.daemons.own.id, elsewhere=elsewhere)
+
+    def record_received(self, received, granter, answer):
+        """Record what a home granted, to report it to other homes."""
+        now = self.clock()
+        received.record(granter, now, answer.granted)
+        for _, _, delays, _ in answer.priorities:
+            for delay in delays:
+                received.record(granter, now + delay, 1)
 
     async def handle_request(self, request):
         """Answer another daemon's request.
@@ -192,15 +314,11 @@
         self.homes.record_heard(self.clock())
         if not request.wanted:
             return GrantResponse(call=0, granted=0)
-        workspace, wanted = request.workspace, request.wanted
         if request.forwarded:
-            cap = self.newer_cap(workspace, request.cap)
-            return self.grant_as_home(
-                workspace, wanted, cap, self.homes.rank(workspace)
-            )
-        return await self.request_grant(
-            workspace, wanted, cap=request.cap, forwarded=True
-        )
+            cap = self.newer_cap(request.workspace, request.cap)
+            rank = self.homes.rank(request.workspace)
+            return self.grant_as_home(request, request.wanted, cap, rank)
+        return await self.request_grant(replace(request, forwarded=True))
 
     def newer_cap(self, workspace, cap):
         """The newer of another daemon's cap for a workspace and this daemon's."""
@@ -211,19 +329,52 @@
 
     # Granting
 
-    def grant_as_home(self, workspace, wanted, cap, rank):
+    def grant_as_home(self, request, wanted, cap, rank):
         """Grant as home; with a `rank` above 0 as standby for an unreachable home."""
         now = self.clock()
-        if rank:
-            cap = standby_cap(cap)
+        bucket = self.bucket(request.workspace, cap, rank, now)
+        self.record_elsewhere(bucket, request, now)
+        # A daemon of an earlier version doesn't tell priorities.
+        waiting = request.waiting or ((bucket.shares.lowest, wanted, 0.0),)
+        found = bucket.grant(
+            [
+                Demand(priority=priority, count=count, patience=patience)
+                for priority, count, patience in waiting
+            ],
+            now,
+        )
+        return GrantResponse(
+            call=0,
+            granted=sum(item.ready for item in found),
+            wait=max(item.wait for item in found) or bucket.seconds_to_next(),
+            granter=self.daemons.own.id,
+            priorities=tuple(
+                (item.priority, item.ready, item.delays, item.wait) for item in found
+            ),
+        )
+
+    def bucket(self, workspace, cap, rank, now):
+        """The bucket of a workspace, with the caps in force."""
+        homes = self.homes.for_workspace(workspace)
         bucket = self.buckets.get(workspace)
         if bucket is None or (rank and now - bucket.refilled_at > STALE_AFTER):
             known_for = 0.0 if rank else now - self.candidate_since
-            tokens = initial_tokens(cap, known_for)
-            bucket = self.buckets[workspace] = TokenBucket(
-                cap=cap, now=now, tokens=tokens
+            tokens = initial_tokens(standby_cap(cap) if rank else cap, known_for)
+            bucket = self.buckets[workspace] = WorkspaceBucket(
+                cap=cap, now=now, tokens=tokens, homes=homes
             )
-        return grant(bucket, cap, wanted, now)
+        bucket.check_homes(homes, now)
+        # A standby that knows the window may save up a burst as a home does.
+        limited = rank and not bucket.knows_window(now)
+        bucket.set_caps(standby_cap(cap) if limited else cap, cap, now)
+        return bucket
+
+    def record_elsewhere(self, bucket, request, now):
+        """Count what other homes granted to the daemon that sent a request."""
+        for granter, slot, age, count in request.elsewhere:
+            if granter != self.daemons.own.id:
+                key = (request.reporter, granter, slot)
+                bucket.window.record_report(key, now - age, count)
 
     def grant_isolated(self, workspace, wanted, cap):
         """Grant the share of a daemon that reaches no home."""
@@ -233,11 +384,6 @@
             bucket = self.isolated_buckets[workspace] = TokenBucket(
                 cap=part, now=now, tokens=0.0
             )
-        return grant(bucket, part, wanted, now)
-
-
-def grant(bucket, cap, wanted, now):
-    """Take operations from a bucket under a cap; returns a GrantResponse."""
-    bucket.set_cap(cap, now)
-    granted = bucket.take(wanted, now)
-    return GrantResponse(call=0, granted=granted, wait=bucket.seconds_to_next())
+        bucket.set_cap(part, now)
+        granted = bucket.take(wanted, now)
+        return GrantResponse(call=0, granted=granted, wait=bucket.seconds_to_next())
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -4,7 +4,7 @@
 from aioprometheus.renderer import render
 
 from gypsum_policy.revisions import era_of, number_of
-from gypsum_sessions.daemons.usage import OutcomeCounts
+from gypsum_sessions.daemons.usagewaiters import OutcomeCounts
 
 # Number of workspaces with series of their own; all others share one. A scrape of
 # thousands of histograms would delay the statements.
@@ -47,7 +47,12 @@
         )
         self.usage = Gauge(
             "gypsum_usage",
-            "Operations begun, and refused beyond the cap, by workspace.",
+            "Operations begun, booked ahead and refused beyond the cap, by workspace.",
+            registry=self.registry,
+        )
+        self.usage_by_priority = Gauge(
+            "gypsum_usage_by_priority",
+            "The same operations of all workspaces, by priority of the route.",
             registry=self.registry,
         )
         self.state = Gauge(
@@ -135,11 +140,11 @@
         for workspace, outcome in usage.outcomes.items():
             name = workspace if workspace in self.named_workspaces else OTHER_WORKSPACES
             total = totals.setdefault(name, OutcomeCounts())
-            total.granted += outcome.granted
-            total.refused += outcome.refused
+            total.add(outcome)
         for name, total in totals.items():
-            self.usage.set({"workspace": name, "what": "granted"}, total.granted)
-            self.usage.set({"workspace": name, "what": "refused"}, total.refused)
+            set_outcomes(self.usage, {"workspace": name}, total)
+        for priority, outcome in usage.outcomes_by_priority.items():
+            set_outcomes(self.usage_by_priority, {"priority": str(priority)}, outcome)
 
     def set_store_era(self, era):
         """Update the era of the store's history."""
@@ -153,3 +158,10 @@
     def render(self, accepts):
         """Return the metrics in the Prometheus text format: (body, headers)."""
         return render(self.registry, accepts)
+
+
+def set_outcomes(gauge, labels, outcome):
+    """Set a gauge to the numbers of operations granted, booked and refused."""
+    gauge.set({**labels, "what": "granted"}, outcome.granted)
+    gauge.set({**labels, "what": "booked"}, outcome.booked)
+    gauge.set({**labels, "what": "refused"}, outcome.refused)
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -24,8 +24,8 @@
     "ServeGroup": "group",
     "LeaderRequest": "call group",
     "LeaderResponse": "call proof_age",
-    "GrantRequest": "call workspace wanted cap forwarded",
-    "GrantResponse": "call granted wait",
+    "GrantRequest": ("call workspace wanted cap forwarded waiting reporter elsewhere"),
+    "GrantResponse": "call granted wait granter priorities",
     "Follow": "revisions",
     "Unfollow": "",
     "FeedUpdate": "feed revision changed since removed whole",
@@ -39,6 +39,8 @@
     "StatementResponse": 8,
     "ReadEnded": 1,
     "Leaving": 0,
+    "GrantRequest": 5,
+    "GrantResponse": 3,
     "Heartbeat": 1,
 }
 
