--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from gypsum_policy.revisions import era_of, number_of
-from gypsum_sessions.daemons.usage import OutcomeCounts
+from gypsum_sessions.daemons.usagewaiters import OutcomeCounts
 from gypsum_sessions.loadmetrics import LoadMetrics
 from gypsum_sessions.replies import Reply
 from gypsum_sessions.statements import Statement
@@ -57,7 +57,12 @@
         )
         self.usage = Gauge(
             "gypsum_usage",
-            "Operations begun, and refused beyond the cap, by workspace.",
+            "Operations begun, booked ahead and refused beyond the cap, by workspace.",
+            registry=self.registry,
+        )
+        self.usage_by_priority = Gauge(
+            "gypsum_usage_by_priority",
+            "The same operations of all workspaces, by priority of the route.",
             registry=self.registry,
         )
         self.state = Gauge(
@@ -187,11 +192,11 @@
         for workspace, outcome in usage.outcomes.items():
             name = workspace if workspace in self.named_workspaces else OTHER_WORKSPACES
             total = totals.setdefault(name, OutcomeCounts())
-            total.granted += outcome.granted
-            total.refused += outcome.refused
+            total.add(outcome)
         for name, total in totals.items():
-            self.usage.set({"workspace": name, "what": "granted"}, total.granted)
-            self.usage.set({"workspace": name, "what": "refused"}, total.refused)
+            set_outcomes(self.usage, {"workspace": name}, total)
+        for priority, outcome in usage.outcomes_by_priority.items():
+            set_outcomes(self.usage_by_priority, {"priority": str(priority)}, outcome)
 
     def set_store_era(self, era):
         """Update the era of the store's history."""
@@ -237,3 +242,10 @@
                 self.loaded.observe(*observation)
             self.pending.clear()
         return self.loaded
+
+
+def set_outcomes(gauge, labels, outcome):
+    """Set a gauge to the numbers of operations granted, booked and refused."""
+    gauge.set({**labels, "what": "granted"}, outcome.granted)
+    gauge.set({**labels, "what": "booked"}, outcome.booked)
+    gauge.set({**labels, "what": "refused"}, outcome.refused)
