--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -80,6 +80,8 @@
     fields = {"upstreams": job.tried, "served_by": job.served_by}
     if job.owner:
         fields["owner"] = job.owner
+    if job.left_out:
+        fields["left_out"] = job.left_out
     if job.passed_over:
         fields["passed_over"] = job.passed_over
         fields["passed_over_wait_ms"] = round(job.passed_over_wait * 1000)
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -9,7 +9,7 @@
 import cbor2
 from msgspec import Struct, ValidationError, convert, to_builtins
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_policy.ratelimit import Cap
 from gypsum_sessions.catalog import Route
@@ -64,7 +64,8 @@
     estimated queueing time in seconds if the statement was refused because of it.
     `unable`: nothing ran, for a reason that concerns this owner only, so another owner
     may be able to run it. `orphaned`: an attempt was sent to an upstream, and the owner
-    can't tell whether it still runs. `accepts_abandon`: the owner understands
+    can't tell whether it still runs. `left_out` gives the reason for each upstream that
+    a read was last not sent to. `accepts_abandon`: the owner understands
     `AbandonStatement`. `wait_ms`: expected wait at this owner for the same kind of work
     of the same workspace, 0 if it would start at once; `pace_ms`: the time that each
     further statement adds to it.
@@ -81,6 +82,7 @@
     unfinished: float = 0.0
     queue: float = 0.0
     orphaned: bool = False
+    left_out: dict[str, str] = {}
     accepts_abandon: bool = False
     wait_ms: int = 0
     pace_ms: int = 0
@@ -149,7 +151,10 @@
     """Request permission to begin a number of operations of a workspace.
 
     `cap` is the cap known to the requesting daemon. `forwarded`: that daemon was itself
-    asked by another one.
+    asked by another one. `waiting` tells for each priority how many operations wait and
+    how many seconds they may wait to begin. `elsewhere` has the operations that other
+    homes granted to the `reporter` within the last window and that the receiver has not
+    confirmed: the granter, a number of the time slot, how many seconds ago, how many.
     """
 
     call: int
@@ -157,14 +162,24 @@
     wanted: int
     cap: Cap
     forwarded: bool = False
+    waiting: tuple[tuple[int, int, float], ...] = ()
+    reporter: str = ""
+    elsewhere: tuple[tuple[str, int, float, int], ...] = ()
 
 
 class GrantResponse(Struct, frozen=True, kw_only=True, array_like=True, tag="leave"):
-    """Number of operations granted; the next one may begin after `wait` seconds."""
+    """Number of operations granted; the next one may begin after `wait` seconds.
+
+    `granter` is the daemon that granted them. `priorities` has for each priority of the
+    request how many may begin at once, after how many seconds each further one may
+    begin, and when the first refused one should return.
+    """
 
     call: int
     granted: int
     wait: float = 0.0
+    granter: str = ""
+    priorities: tuple[tuple[int, int, tuple[float, ...], float], ...] = ()
 
 
 class Follow(Struct, frozen=True, kw_only=True, array_like=True, tag="follow"):
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.admission import AdmissionRequest
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_sessions.catalog import Route
@@ -32,9 +32,10 @@
     daemon that the job was sent to, if not this one. `orphaned` is set once an attempt
     was sent and nothing will tell any more whether it ran, or whether it still does.
     `queue_wait` is the queue's wait in seconds for which the job was refused.
-    `credential` is what its caller was authenticated with. `maybe_run` counts attempts
-    that were sent to an upstream which did not report them as not run. `abandoned` is
-    set once the caller has left; `withdrawals` end the job's waits for admission then.
+    `credential` is what its caller was authenticated with. `left_out` gives the reason
+    for each upstream that a read was last not sent to. `maybe_run` counts attempts that
+    were sent to an upstream which did not report them as not run. `abandoned` is set
+    once the caller has left; `withdrawals` end the job's waits for admission then.
     `passed_over` is the preferred owner that had no room for the job, and
     `passed_over_wait` the wait expected there in seconds.
     """
@@ -58,6 +59,7 @@
     orphaned: bool = False
     queue_wait: float = 0.0
     credential: Credential = ANONYMOUS
+    left_out: dict[str, str] = field(default_factory=dict)
     maybe_run: int = 0
     abandoned: bool = False
     withdrawals: set = field(default_factory=set)
@@ -69,15 +71,26 @@
         """Workspace that the statement runs for; empty if callers need no key."""
         return self.credential.workspace
 
-    def admission_request(self):
-        """Priority, target time and deadline that decide its place in the queue."""
+    def admission_request(self, kind=None):
+        """Priority, target time, deadline and kind, which decide its place in a queue.
+
+        `kind` replaces its own for a statement that the proxy sends for it.
+        """
         started_at = self.deadline - self.route.statement_timeout
         return AdmissionRequest(
             priority=self.route.priority,
             target_time=started_at + self.route.latency_target,
             deadline=self.deadline,
+            kind=kind or self.kind,
         )
 
+    @property
+    def kind(self):
+        """Key of the statements that take about as long as this one."""
+        if self.statement.commits:
+            return (self.route.name, "commit")
+        return (self.route.name, "write" if self.statement.writes else "read")
+
     def abandon(self):
         """Give up the job because its caller has left; safe to call at any time.
 
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 
 from gypsum_policy.admission import QueueTimeout, retry_after_ms
-from gypsum_policy.routing import order_for_read
+from gypsum_policy.rounds import (
+    Obstacle,
+    expected_lag,
+    pause_before_round,
+    retry_wait,
+)
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.execution.admission import JobAbandoned
 from gypsum_sessions.execution.jobs import send_statement
@@ -17,6 +22,7 @@
 )
 from gypsum_sessions.takeover.floors import later
 from gypsum_sessions.upstreams.pooled import sync_session_state
+from gypsum_sessions.upstreams.readplacement import place_read
 
 PART = "read"
 # Refusals after which another upstream may still answer the read.
@@ -32,8 +38,6 @@
         Refusal.READ_ONLY,
     }
 )
-# Seconds before the next round when all upstreams refused.
-ROUND_PAUSE = 0.02
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,25 +75,65 @@
     """Run a read at any upstream that may serve it; returns the caller's reply."""
     if not await find_floor(group, job):
         return no_leader_reply(group.context.tuning)
-    while job.time_left(group.context.clock) > 0:
+    number = 0
+    while True:
         if not group.candidates():
             return no_leader_reply(group.context.tuning)
-        attempt = await run_round(group, job)
-        if attempt is not None and attempt.final:
-            job.served_by = attempt.upstream
-            return attempt.reply
+        attempts = await run_round(group, job)
+        if attempts and attempts[-1].final:
+            job.served_by = attempts[-1].upstream
+            return attempts[-1].reply
         if job.abandoned:
             return abandoned_reply(job)
-        if attempt is not None and attempt.wait is not None:
-            return overloaded_reply(job, attempt.wait)
-        await asyncio.sleep(ROUND_PAUSE)
-    return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
+        # Without attempts, a replica will have the position in a moment.
+        obstacles = [obstacle_of(group, item) for item in attempts] or [Obstacle()]
+        time_left = job.time_left(group.context.clock)
+        pause = pause_before_round(obstacles, number=number, time_left=time_left)
+        if pause is None:
+            return refuse_read(group, job, obstacles)
+        await asyncio.sleep(pause)
+        number += 1
+
+
+def obstacle_of(group, attempt):
+    """Why an upstream gave no answer, for the decision about another round."""
+    if attempt.wait is not None:
+        return Obstacle(queued=True, ready_in=attempt.wait)
+    item = group.upstreams.get(attempt.upstream)
+    lagging = attempt.reply is not None and attempt.reply.refusal is Refusal.LAGGING
+    if lagging and item is not None:
+        return lagging_obstacle(group, item)
+    return Obstacle()
+
+
+def lagging_obstacle(group, item):
+    """When an upstream that lacked a read's position is expected to have it."""
+    tuning = group.context.tuning
+    behind_for = item.behind_for(group.context.clock(), tuning)
+    ready_in = expected_lag(usual=item.apply_lag, behind_for=behind_for)
+    return Obstacle(lagging=True, ready_in=ready_in)
+
+
+def refuse_read(group, job, obstacles):
+    """The refusal of a read that no upstream can run in time."""
+    if job.maybe_run:
+        return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
+    if obstacles and all(item.lagging for item in obstacles):
+        return lagging_reply(job, retry_wait(obstacles))
+    queued = [item for item in obstacles if item.queued]
+    if queued:
+        return overloaded_reply(job, retry_wait(queued))
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail="not run, no upstream was able to run it in time",
+        retry_after_ms=group.context.tuning.busy_retry_after_ms,
+    )
 
 
 async def run_round(group, job):
     """One round over the upstreams: the next is asked if one refuses or is slow.
 
-    Returns the first final attempt, else the most useful one, None if there was none.
+    Returns the attempts that ended, the final one last if there is one.
     """
     running = set()
     try:
@@ -102,7 +146,7 @@
 
 async def run_attempts(group, job, running):
     """Run the round; `running` holds the attempts under way."""
-    order, last = upstream_order(group, job), None
+    order, ended = upstream_order(group, job), []
     while order or running:
         if order:
             upstream = next_upstream(group, order, force=not running)
@@ -115,14 +159,15 @@
         )
         running -= done
         for task in done:
-            last = better_attempt(last, task.result())
-            if last.final:
+            ended.append(task.result())
+            if ended[-1].final:
                 detach_attempts(group, job, running)
-                return last
+                return ended
         if job.abandoned or job.time_left(group.context.clock) <= 0:
             break
-    detach_attempts(group, job, running)
-    return last
+    if running:
+        detach_attempts(group, job, running)
+    return ended
 
 
 def next_upstream(group, order, *, force):
@@ -141,17 +186,6 @@
     return None
 
 
-def better_attempt(first, second):
-    """The more useful of two attempts: an answer, else the shorter queue."""
-    if first is None or second.final:
-        return second
-    if first.wait is None:
-        return first
-    if second.wait is None:
-        return second
-    return min(first, second, key=lambda item: item.wait)
-
-
 def detach_attempts(group, job, tasks):
     """Let attempts that are no longer needed end on their own."""
     job.answered = True
@@ -168,22 +202,21 @@
     try:
         place = item.admission.enqueue(job)
     except QueueTimeout as exc:
-        return {asyncio.create_task(rejected_attempt(item, exc))}
+        return {asyncio.create_task(rejected_attempt(group, job, item, exc))}
     task = asyncio.create_task(attempt_read(group, job, item, place))
     task.add_done_callback(lambda _: place.release())
     return {task}
 
 
-async def rejected_attempt(item, exc):
+async def rejected_attempt(group, job, item, exc):
     """The attempt at an upstream whose queue is too long."""
+    log_refused(group, job, item, exc)
     return Attempt(upstream=item.id, reply=None, detail=str(exc), wait=exc.wait)
 
 
-def upstream_order(group, job):
-    """Upstreams in the order in which they are asked."""
-    order = order_for_read(
-        group.candidates(job.workspace), far_cost=group.context.tuning.far_cost
-    )
+def upstream_order(group, job, *, may_probe=True):
+    """Upstreams in the order in which they are asked; empty if it is better to wait."""
+    order = place_read(group, job, may_probe=may_probe)
     if job.route.rule is ReadRule.PRIMARY and group.watch.leader in order:
         order.remove(group.watch.leader)
         order.insert(0, group.watch.leader)
@@ -192,11 +225,8 @@
 
 def hedge_delay(group, job):
     """Seconds until a further upstream is asked as well."""
-    tuning = group.context.tuning
     last = group.upstreams.get(job.tried[-1]) if job.tried else None
-    mean = last.mean_time if last else tuning.initial_mean
-    delay = max(tuning.hedge_min_delay, tuning.hedge_factor * mean)
-    return min(delay, job.time_left(group.context.clock))
+    return min(group.hedge_delay(last), job.time_left(group.context.clock))
 
 
 async def attempt_read(group, job, item, place):
@@ -207,9 +237,12 @@
                 return Attempt(upstream=item.id, reply=None, detail="answered before")
             if not group.context.catalog.is_valid(job.credential):
                 return Attempt(upstream=item.id, reply=key_withdrawn_reply())
-            return await send_attempt(group, job, item)
+            attempt = await send_attempt(group, job, item)
+            if attempt.reply is None or not attempt.reply.ok:
+                place.release()
+            return attempt
     except QueueTimeout as exc:
-        return await rejected_attempt(item, exc)
+        return await rejected_attempt(group, job, item, exc)
     except JobAbandoned:
         return Attempt(upstream=item.id, reply=None, detail="the caller has left")
 
@@ -264,33 +297,62 @@
         # Answered elsewhere while this attempt waited for its connection. If it were
         # sent, it could run after its session's values have changed.
         return None
+    if not item.admission.has_time(job):
+        return None
     started = clock()
     job.maybe_run += 1
-    reply = await send_statement(
-        pooled,
-        job,
-        timeout=max(job.time_left(clock), context.tuning.ping_timeout),
-        linger=context.tuning.running_attempt_wait,
-        after=job.floor,
-    )
+    with item.measure_attempt(job.request, clock) as attempt:
+        attempt.reply = reply = await send_statement(
+            pooled,
+            job,
+            timeout=max(job.time_left(clock), context.tuning.ping_timeout),
+            linger=context.tuning.running_attempt_wait,
+            after=job.floor,
+        )
     if reply.ok:
         item.record_answer(clock() - started, reply.position, clock(), context.tuning)
+        item.record_served(job.floor)
+        item.admission.record_answer(job.kind, clock() - started)
     if reply.refusal in NOT_RUN:
         job.maybe_run -= 1
-    record_refusal(context, item, pooled, reply)
+    record_refusal(context, item, pooled, reply, job.floor)
     return reply
 
 
-def record_refusal(context, item, pooled, reply):
+def record_refusal(context, item, pooled, reply, floor=None):
     """Update the state of the upstream and the connection after a refused read."""
     if reply.refusal is Refusal.LAGGING:
-        item.record_behind(context.clock(), context.tuning)
+        item.record_lagging(floor, reply.position, context.clock())
     if reply.refusal is Refusal.UNKNOWN_NAME:
         pooled.dirty = True
     if reply.refusal is Refusal.BUSY:
         item.admission.queue.record_rejection(context.clock())
 
 
+def log_refused(group, job, item, exc):
+    """Log why a statement was not admitted to an upstream's queue."""
+    group.context.log(
+        "admission",
+        "refused",
+        request=job.request,
+        upstream=item.id,
+        cause=str(exc.cause),
+        forecast_ms=round(exc.forecast * 1000),
+        queued=exc.queued,
+        limit=exc.limit,
+        time_left_ms=round(job.time_left(group.context.clock) * 1000),
+    )
+
+
+def lagging_reply(job, wait):
+    """The refusal of a read whose position no upstream has; it has not run."""
+    return Reply(
+        refusal=Refusal.LAGGING,
+        detail="not run, no upstream has the position yet",
+        retry_after_ms=retry_after_ms(wait, job.request),
+    )
+
+
 def overloaded_reply(job, wait):
     """The refusal of work that can't be answered in time; it has not run."""
     job.queue_wait = wait
--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -1,18 +1,23 @@
-"""Prometheus metrics of statement sessions."""
+"""Prometheus metrics of statement sessions.
 
-from functools import partial
+The library is imported with the first `SessionMetrics`: a starting daemon first serves
+the callers that wait for it.
+"""
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
+from functools import partial
 
 from gypsum_policy.revisions import era_of, number_of
-from gypsum_sessions.daemons.usage import OutcomeCounts
+from gypsum_sessions.daemons.usagewaiters import OutcomeCounts
 from gypsum_sessions.loadmetrics import LoadMetrics
+from gypsum_sessions.replies import Reply
+from gypsum_sessions.statements import Statement
 
 # Number of workspaces with series of their own; all others share one. A scrape of
 # thousands of histograms would delay the statements.
 MAX_NAMED_WORKSPACES = 100
 OTHER_WORKSPACES = "others"
+# Observations that are kept until the library is loaded, a few hundred bytes each.
+MAX_PENDING = 4000
 LATENCY_BUCKETS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0]
 
 
@@ -23,6 +28,8 @@
     """
 
     def __init__(self):
+        from aioprometheus import Counter, Gauge, Histogram, Registry
+
         self.registry = Registry()
         self.seconds = Histogram(
             "gypsum_statement_seconds",
@@ -50,7 +57,12 @@
         )
         self.usage = Gauge(
             "gypsum_usage",
-            "Operations begun, and refused beyond the cap, by workspace.",
+            "Operations begun, booked ahead and refused beyond the cap, by workspace.",
+            registry=self.registry,
+        )
+        self.usage_by_priority = Gauge(
+            "gypsum_usage_by_priority",
+            "The same operations of all workspaces, by priority of the route.",
             registry=self.registry,
         )
         self.state = Gauge(
@@ -60,7 +72,17 @@
         )
         self.upstreams = Gauge(
             "gypsum_upstream",
-            "Each upstream's open connections, connections dialled, mean seconds.",
+            "Each upstream's connections, mean seconds, lag, reads not sent there.",
+            registry=self.registry,
+        )
+        self.admission = Gauge(
+            "gypsum_admission",
+            "Each upstream's queue here: limit, outstanding, waiting, forecast error.",
+            registry=self.registry,
+        )
+        self.not_admitted = Gauge(
+            "gypsum_admission_refusals",
+            "Statements that were not sent to an upstream, by cause.",
             registry=self.registry,
         )
         self.store_calls = Counter(
@@ -133,6 +155,36 @@
                 displaced = item.pool.displaced
                 self.upstreams.set({**labels, "what": "displaced"}, displaced)
                 self.upstreams.set({**labels, "what": "mean_seconds"}, item.mean_time)
+                self.collect_placement(labels, item, proxy.clock())
+                self.collect_admission(labels, item.admission.queue)
+
+    def collect_placement(self, labels, item, now):
+        """Update what decides which reads are sent to an upstream."""
+        results = item.results
+        for what, value in (
+            ("lag_seconds", item.progress.expected_lag(now)),
+            ("reads_withheld", item.reads_withheld),
+            ("position_probes", item.position_probes),
+            ("failure_share", results.failure_share),
+            ("avoided", int(results.suspected or now < item.avoid_until)),
+            ("read_probes", results.probes),
+        ):
+            self.upstreams.set({**labels, "what": what}, value)
+
+    def collect_admission(self, labels, queue):
+        """Update the state of the queue before an upstream."""
+        figures = {
+            "limit": queue.limit,
+            "outstanding": queue.running,
+            "waiting": len(queue.waiting),
+            "forecast_error_seconds": queue.check.error,
+            "forecast_correction": queue.check.correction,
+            "slowdown": queue.answer_times.slowdown,
+        }
+        for what, value in figures.items():
+            self.admission.set({**labels, "what": what}, value)
+        for cause, number in queue.refusals.items():
+            self.not_admitted.set({**labels, "cause": str(cause)}, number)
 
     def collect_usage(self, usage):
         """Update the operations granted and refused to workspaces that have a cap."""
@@ -140,11 +192,11 @@
         for workspace, outcome in usage.outcomes.items():
             name = workspace if workspace in self.named_workspaces else OTHER_WORKSPACES
             total = totals.setdefault(name, OutcomeCounts())
-            total.granted += outcome.granted
-            total.refused += outcome.refused
+            total.add(outcome)
         for name, total in totals.items():
-            self.usage.set({"workspace": name, "what": "granted"}, total.granted)
-            self.usage.set({"workspace": name, "what": "refused"}, total.refused)
+            set_outcomes(self.usage, {"workspace": name}, total)
+        for priority, outcome in usage.outcomes_by_priority.items():
+            set_outcomes(self.usage_by_priority, {"priority": str(priority)}, outcome)
 
     def set_store_era(self, era):
         """Update the era of the store's history."""
@@ -157,4 +209,43 @@
 
     def render(self, accepts):
         """Return the metrics in the Prometheus text format: (body, headers)."""
+        from aioprometheus.renderer import render
+
         return render(self.registry, accepts)
+
+
+class DeferredMetrics:
+    """Keeps observations until the metrics are loaded, so that none is lost."""
+
+    def __init__(self):
+        self.pending = []
+        self.loaded = None
+
+    def observe(self, route, statement, reply, seconds, served_by, workspace=""):
+        """Record one statement, see `SessionMetrics.observe`."""
+        if self.loaded is not None:
+            self.loaded.observe(route, statement, reply, seconds, served_by, workspace)
+            return
+        # Without texts and rows, which may have a megabyte each.
+        statement = Statement(kind=statement.kind, writes=statement.writes)
+        reply = Reply(refusal=reply.refusal)
+        kept = (route, statement, reply, seconds, served_by, workspace)
+        self.pending.append(kept)
+        if len(self.pending) >= MAX_PENDING:
+            self.load()
+
+    def load(self):
+        """Return the metrics; the first call imports the library."""
+        if self.loaded is None:
+            self.loaded = SessionMetrics()
+            for observation in self.pending:
+                self.loaded.observe(*observation)
+            self.pending.clear()
+        return self.loaded
+
+
+def set_outcomes(gauge, labels, outcome):
+    """Set a gauge to the numbers of operations granted, booked and refused."""
+    gauge.set({**labels, "what": "granted"}, outcome.granted)
+    gauge.set({**labels, "what": "booked"}, outcome.booked)
+    gauge.set({**labels, "what": "refused"}, outcome.refused)
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -16,7 +16,7 @@
     ),
     "StatementResponse": (
         "call reply tried served_by role floor floor_age unable unfinished queue "
-        "orphaned accepts_abandon wait_ms pace_ms"
+        "orphaned left_out accepts_abandon wait_ms pace_ms"
     ),
     "AbandonStatement": "call",
     "ReadEnded": "call orphaned",
@@ -25,8 +25,8 @@
     "ServeGroup": "group",
     "LeaderRequest": "call group",
     "LeaderResponse": "call proof_age",
-    "GrantRequest": "call workspace wanted cap forwarded",
-    "GrantResponse": "call granted wait",
+    "GrantRequest": ("call workspace wanted cap forwarded waiting reporter elsewhere"),
+    "GrantResponse": "call granted wait granter priorities",
     "Follow": "revisions",
     "Unfollow": "",
     "FeedUpdate": "feed revision changed since removed whole",
@@ -40,6 +40,8 @@
     "StatementResponse": 8,
     "ReadEnded": 1,
     "Leaving": 0,
+    "GrantRequest": 5,
+    "GrantResponse": 3,
     "Heartbeat": 1,
 }
 
