--- a/packages/policy/gypsum_policy/usagepriority.py
+++ b/packages/policy/gypsum_policy/usagepriority.py
@@ -113,8 +113,7 @@
         """
         state = self.states[priority]
         pace = self.rate_left(priority, now, rate)
-        wait = max(room_in, state.returns_at - now)
-        wait = min(wait, max(room_in, RETURN_SECONDS))
+        wait = min(max(room_in, state.returns_at - now), RETURN_SECONDS)
         state.returns_at = now + wait + (refused / pace if pace else RETURN_SECONDS)
         return wait
 
--- a/tests/policy/test_usagepriority.py
+++ b/tests/policy/test_usagepriority.py
@@ -53,5 +53,6 @@
     assert abs(second - first - 8 / RATE) < 1e-6
     for _ in range(50):
         assert shares.return_after(1, 8, 0.01, now, RATE) <= RETURN_SECONDS
+    assert shares.return_after(1, 8, 20.0, now, RATE) == RETURN_SECONDS
     shares.served(1, now)
     assert shares.return_after(1, 8, 0.01, now, RATE) == 0.01
