Replicas that lack a read's position are not asked when the primary refuses or is lost

Cause: replicas that would have the floor within the hedge delay stood last in a read's order and were asked at once when the primary refused; a read of the primary's rule made replicas count as behind, which can lead to a handover that nobody needs. Change: such replicas are left out; a round that hears nothing within the hedge delay looks again at who has the position by then. Reads of the primary's rule count nothing.

--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -93,17 +93,21 @@
 
 async def run_attempts(group, job, running):
     """Run the round; `running` holds the attempts under way."""
-    order, last = upstream_order(group, job), None
+    order, last, asked = upstream_order(group, job), None, set()
     while order or running:
         if order:
             upstream = next_upstream(group, order, force=not running)
             running |= start_attempt(group, job, upstream)
+            asked.add(upstream)
         if not running:
             continue
-        wait = hedge_delay(group, job) if order else job.time_left(group.context.clock)
         done, _ = await asyncio.wait(
-            running, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+            running,
+            timeout=hedge_delay(group, job),
+            return_when=asyncio.FIRST_COMPLETED,
         )
+        if not done and not order:
+            order = newly_ready(group, job, asked)
         running -= done
         for task in done:
             last = better_attempt(last, task.result())
@@ -116,6 +120,12 @@
     return last
 
 
+def newly_ready(group, job, asked):
+    """Upstreams that have come to have the read's position since the round began."""
+    ready = upstream_order(group, job, may_probe=False)
+    return [upstream for upstream in ready if upstream not in asked]
+
+
 def next_upstream(group, order, *, force):
     """Take the next upstream to ask out of the order; None if it is better to wait.
 
--- a/packages/sessions/gypsum_sessions/upstreams/readplacement.py
+++ b/packages/sessions/gypsum_sessions/upstreams/readplacement.py
@@ -18,14 +18,14 @@
 def place_read(group, job, *, may_probe):
     """Ids of the upstreams to ask for a read, the best first; empty: wait a moment.
 
-    Replicas that are not expected to have the floor are left out. One that will have it
-    by the time at which a read is sent to a second upstream is asked last. `may_probe`:
-    the read may try an upstream that is avoided.
+    Replicas that are not expected to have the floor are left out; those of which
+    nothing can be learned are asked last. `may_probe`: the read may try an upstream
+    that is avoided.
     """
     now, tuning = group.context.clock(), group.context.tuning
     reached_at = group.floors.expected_reached_at(job.floor, now)
     job.left_out = {}
-    ready, late, soon = [], [], False
+    ready, unknown = [], []
     for item in group.upstreams.values():
         if not group.accepts_work(item.member):
             continue
@@ -33,19 +33,14 @@
         if readiness in READY:
             ready.append(item)
             continue
-        withhold(group, item, job, readiness, now)
-        in_time = item.progress.ready_in(reached_at, now) <= tuning.hedge_min_delay
+        if job.route.rule is not ReadRule.PRIMARY:
+            withhold(group, item, job, readiness, now)
         if readiness is Readiness.UNKNOWN:
-            late.append(item)
-        elif readiness is Readiness.SOON and in_time:
-            late.append(item)
-            soon = True
+            unknown.append(item)
     suspects = judge(group, ready, job, now)
     usable = [
         item for item in ready if item.id not in suspects and now >= item.avoid_until
     ]
-    if soon and not usable:
-        return []
     probed = probe_target(group, job, ready, usable, now) if may_probe else None
     order = order_for_read(
         [
@@ -63,7 +58,7 @@
     if probed is not None:
         probed.results.start_probe(now)
     return order + order_for_read(
-        [group.candidate(item, now, job.workspace, lagging=True) for item in late],
+        [group.candidate(item, now, job.workspace, lagging=True) for item in unknown],
         far_cost=tuning.far_cost,
     )
 
--- a/tests/sessions/test_read_placement.py
+++ b/tests/sessions/test_read_placement.py
@@ -237,3 +237,36 @@
         assert share_turned_away(rig) < 0.02
 
     run(main())
+
+
+def test_reads_that_need_the_primary_do_not_make_replicas_count_as_behind():
+    """Guards against a handover because of replicas that no read was meant for."""
+
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("primary")
+        for number in range(40):
+            assert (await caller.send(f"WRITE a {number}")).ok
+            assert (await caller.send("READ a")).rows == (str(number),)
+        for item in rig.proxy.groups["db"].upstreams.values():
+            assert item.behind_since is None
+            assert item.reads_withheld == 0
+
+    run(main())
+
+
+def test_a_read_waits_for_a_replica_when_nobody_has_its_position_yet():
+    """Guards against asking replicas time and again while the primary is away."""
+
+    async def main():
+        rig = await make_rig()
+        caller = rig.caller("own")
+        await asyncio.gather(*start_load(rig, 2.0, []))
+        before = sum(member.turned_away for member in rig.group.members)
+        assert (await caller.send("WRITE a 5")).ok
+        rig.group["u1"].crash()
+        assert (await caller.send("READ a")).rows == ("5",)
+        asked = sum(member.turned_away for member in rig.group.members) - before
+        assert asked <= len(rig.group.replicas())
+
+    run(main())
