--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -17,7 +17,9 @@
 # A takeover takes up to three seconds.
 CONTEXT_SECONDS = 3.0
 # Parts whose events explain a group's state.
-GROUP_PARTS = frozenset({"leader", "takeover", "confirm", "reach", "hosting"})
+GROUP_PARTS = frozenset(
+    {"leader", "takeover", "confirm", "reach", "hosting", "placement"}
+)
 # Parts whose events explain a daemon's state.
 DAEMON_PARTS = frozenset({"daemon", "drain", "peers", "relay", "store"})
 # Events of a workspace: its cap, and keys that were withdrawn.
@@ -125,6 +127,7 @@
     for line in trace.events:
         yield f"  {format_event(line, home)}"
     yield describe_outcome(trace.final_event)
+    yield from describe_owner(trace.final_event)
     yield from describe_configuration(trace.final_event)
     if trace.context_events:
         yield "related events:"
@@ -151,6 +154,17 @@
     return text.format(refusal=refusal, detail=line.get("detail", ""))
 
 
+def describe_owner(line):
+    """Yield why the request did not go to its preferred owner, and if it was left."""
+    if "passed_over" in line:
+        yield (
+            f"Its usual owner {line['passed_over']} had no room: the wait there was "
+            f"expected to be {line['passed_over_wait_ms']} ms."
+        )
+    if line.get("abandoned"):
+        yield "Its caller left before the answer."
+
+
 def describe_configuration(line):
     """Yield the configuration used for the request, and when it was last confirmed.
 
--- a/packages/sessions/gypsum_sessions/callers/requestlog.py
+++ b/packages/sessions/gypsum_sessions/callers/requestlog.py
@@ -1,5 +1,9 @@
 """Logs and metrics of callers' requests, with what decided their outcome."""
 
+from collections import Counter
+
+from gypsum_sessions.callers.refusalcauses import cause_of
+
 PART = "request"
 
 
@@ -8,6 +12,12 @@
 
     def __init__(self, *, proxy):
         self.proxy = proxy
+        # Refusals by group, to whom (`callers`, `daemons`) and cause.
+        self.refusals = Counter()
+
+    def count_refusal(self, group, to, reply):
+        """Count a refusal by its cause."""
+        self.refusals[group, to, cause_of(reply)] += 1
 
     def log_answer(self, session, request, statement, job, reply, arrived):
         """Log and measure a statement; `job` is None if the proxy answered it."""
@@ -17,6 +27,8 @@
         ran = job.statement if job is not None else statement
         workspace = session.credential.workspace
         self.proxy.observe(route, ran, reply, seconds, served_by, workspace)
+        if not reply.ok:
+            self.count_refusal(route.group, "callers", reply)
         if job is None and reply.ok:
             return
         self.proxy.log(
@@ -68,8 +80,15 @@
     fields = {"upstreams": job.tried, "served_by": job.served_by}
     if job.owner:
         fields["owner"] = job.owner
+    if job.left_out:
+        fields["left_out"] = job.left_out
+    if job.passed_over:
+        fields["passed_over"] = job.passed_over
+        fields["passed_over_wait_ms"] = round(job.passed_over_wait * 1000)
     if job.orphaned:
         fields["orphaned"] = True
+    if job.abandoned:
+        fields["abandoned"] = True
     if job.floor is not None:
         fields["floor"] = str(job.floor)
         fields["floor_age_ms"] = round(job.floor_age * 1000)
--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -3,9 +3,10 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_policy.ratelimit import refusal_retry_ms
+from gypsum_policy.usagebucket import patience
 from gypsum_sessions.callers.access import OpenTransaction
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.execution.jobs import Job
@@ -38,7 +39,7 @@
     `abort_unreported` is set while the caller does not know yet that the proxy rolled
     its transaction back. `unfinished` has the jobs of which an attempt still ran after
     the reply, on this daemon or on an owner. `orphaned` is set once a statement was
-    sent and nothing will tell whether it still runs.
+    sent and nothing will tell whether it still runs. `job` is the job under way.
     """
 
     number: int
@@ -59,6 +60,15 @@
     running: bool = False
     unfinished: list[Job] = field(default_factory=list)
     orphaned: bool = False
+    job: Job | None = None
+
+    def abandon(self):
+        """Give up the job under way: the caller has left.
+
+        An open transaction is rolled back once the session is closed.
+        """
+        if self.job is not None:
+            self.job.abandon()
 
     async def run(self, request, statement):
         """Run one statement; returns the complete reply for the caller."""
@@ -80,6 +90,7 @@
                 reply = await self.run_locally(request, statement, arrived)
         finally:
             self.running = False
+            self.job = None
             self.last_active = clock()
             self.track_unfinished(job)
         self.proxy.request_log.log_answer(self, request, statement, job, reply, arrived)
@@ -107,13 +118,20 @@
         await self.end_transaction()
         return self.refuse(Refusal.ABORTED, f"rolled back, {KEY_WITHDRAWN}")
 
-    async def check_cap(self, request):
+    async def check_cap(self, request, route, arrived):
         """Return a refusal if the workspace is over its cap, or None.
 
         Called once for each operation, before it waits for anything else.
         """
         workspace = self.credential.workspace
-        wait = await self.proxy.usage.acquire(workspace) if workspace else 0.0
+        if not workspace:
+            return None
+        wait = await self.proxy.usage.acquire(
+            workspace,
+            priority=route.priority,
+            target_time=arrived + route.latency_target,
+            patience=patience(route.latency_target, route.statement_timeout),
+        )
         if not wait:
             return None
         return Reply(
@@ -223,7 +241,7 @@
         access = self.proxy.access(route.group)
         if access is None:
             return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
-        over_cap = await self.check_cap(request)
+        over_cap = await self.check_cap(request, route, arrived)
         if over_cap is not None:
             return over_cap
         self.tx = access.begin(route=route, writes=statement.writes, arrived=arrived)
@@ -274,7 +292,7 @@
                 argument=statement.argument,
                 writes=known.writes,
             )
-        return Job(
+        self.job = Job(
             request=request,
             statement=statement,
             route=route,
@@ -285,6 +303,7 @@
             own_floor=self.own_floor,
             credential=self.credential,
         )
+        return self.job
 
     async def run_job(self, job):
         """Run a job, inside the open transaction if there is one."""
@@ -293,9 +312,11 @@
         access = self.proxy.access(job.route.group)
         if access is None:
             return self.refuse(Refusal.BUSY, "not run, the group is not known yet")
-        over_cap = await self.check_cap(job.request)
+        over_cap = await self.check_cap(job.request, job.route, job.arrived)
         if over_cap is not None:
             return over_cap
+        if job.abandoned:
+            return self.refuse(Refusal.BUSY, "not run, the caller has left")
         if job.statement.writes:
             reply = await access.write(job)
             if reply.ok:
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from gypsum_core.records import Position
+from gypsum_core.position import Position
 from gypsum_policy.admission import AdmissionRequest
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_sessions.catalog import Route
@@ -32,9 +32,12 @@
     daemon that the job was sent to, if not this one. `orphaned` is set once an attempt
     was sent and nothing will tell any more whether it ran, or whether it still does.
     `queue_wait` is the queue's wait in seconds for which the job was refused.
-    `credential` is what its caller was authenticated with. `maybe_run` counts attempts
-    that were sent to an upstream which did not report them as not run. `abandoned` is
-    set once the caller has left; `withdrawals` end the job's waits for admission then.
+    `credential` is what its caller was authenticated with. `left_out` gives the reason
+    for each upstream that a read was last not sent to. `maybe_run` counts attempts that
+    were sent to an upstream which did not report them as not run. `abandoned` is set
+    once the caller has left; `withdrawals` end the job's waits for admission then.
+    `passed_over` is the preferred owner that had no room for the job, and
+    `passed_over_wait` the wait expected there in seconds.
     """
 
     request: str
@@ -56,9 +59,12 @@
     orphaned: bool = False
     queue_wait: float = 0.0
     credential: Credential = ANONYMOUS
+    left_out: dict[str, str] = field(default_factory=dict)
     maybe_run: int = 0
     abandoned: bool = False
     withdrawals: set = field(default_factory=set)
+    passed_over: str = ""
+    passed_over_wait: float = 0.0
 
     @property
     def workspace(self):
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -10,7 +10,6 @@
     pause_before_round,
     retry_wait,
 )
-from gypsum_policy.routing import order_for_read
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.execution.admission import JobAbandoned
 from gypsum_sessions.execution.jobs import send_statement
@@ -23,6 +22,7 @@
 )
 from gypsum_sessions.takeover.floors import later
 from gypsum_sessions.upstreams.pooled import sync_session_state
+from gypsum_sessions.upstreams.readplacement import place_read
 
 PART = "read"
 # Refusals after which another upstream may still answer the read.
@@ -85,7 +85,8 @@
             return attempts[-1].reply
         if job.abandoned:
             return abandoned_reply(job)
-        obstacles = [obstacle_of(group, item) for item in attempts]
+        # Without attempts, a replica will have the position in a moment.
+        obstacles = [obstacle_of(group, item) for item in attempts] or [Obstacle()]
         time_left = job.time_left(group.context.clock)
         pause = pause_before_round(obstacles, number=number, time_left=time_left)
         if pause is None:
@@ -145,17 +146,21 @@
 
 async def run_attempts(group, job, running):
     """Run the round; `running` holds the attempts under way."""
-    order, ended = upstream_order(group, job), []
+    order, ended, asked = upstream_order(group, job), [], set()
     while order or running:
         if order:
             upstream = next_upstream(group, order, force=not running)
             running |= start_attempt(group, job, upstream)
+            asked.add(upstream)
         if not running:
             continue
-        wait = hedge_delay(group, job) if order else job.time_left(group.context.clock)
         done, _ = await asyncio.wait(
-            running, timeout=wait, return_when=asyncio.FIRST_COMPLETED
+            running,
+            timeout=hedge_delay(group, job),
+            return_when=asyncio.FIRST_COMPLETED,
         )
+        if not done and not order:
+            order = newly_ready(group, job, asked)
         running -= done
         for task in done:
             ended.append(task.result())
@@ -169,6 +174,12 @@
     return ended
 
 
+def newly_ready(group, job, asked):
+    """Upstreams that have come to have the read's position since the round began."""
+    ready = upstream_order(group, job, may_probe=False)
+    return [upstream for upstream in ready if upstream not in asked]
+
+
 def next_upstream(group, order, *, force):
     """Take the next upstream to ask out of the order; None if it is better to wait.
 
@@ -213,11 +224,9 @@
     return Attempt(upstream=item.id, reply=None, detail=str(exc), wait=exc.wait)
 
 
-def upstream_order(group, job):
-    """Upstreams in the order in which they are asked."""
-    order = order_for_read(
-        group.candidates(job.workspace), far_cost=group.context.tuning.far_cost
-    )
+def upstream_order(group, job, *, may_probe=True):
+    """Upstreams in the order in which they are asked; empty if it is better to wait."""
+    order = place_read(group, job, may_probe=may_probe)
     if job.route.rule is ReadRule.PRIMARY and group.watch.leader in order:
         order.remove(group.watch.leader)
         order.insert(0, group.watch.leader)
@@ -226,11 +235,8 @@
 
 def hedge_delay(group, job):
     """Seconds until a further upstream is asked as well."""
-    tuning = group.context.tuning
     last = group.upstreams.get(job.tried[-1]) if job.tried else None
-    mean = last.mean_time if last else tuning.initial_mean
-    delay = max(tuning.hedge_min_delay, tuning.hedge_factor * mean)
-    return min(delay, job.time_left(group.context.clock))
+    return min(group.hedge_delay(last), job.time_left(group.context.clock))
 
 
 async def attempt_read(group, job, item, place):
@@ -305,26 +311,28 @@
         return None
     started = clock()
     job.maybe_run += 1
-    reply = await send_statement(
-        pooled,
-        job,
-        timeout=max(job.time_left(clock), context.tuning.ping_timeout),
-        linger=context.tuning.running_attempt_wait,
-        after=job.floor,
-    )
+    with item.measure_attempt(job.request, clock) as attempt:
+        attempt.reply = reply = await send_statement(
+            pooled,
+            job,
+            timeout=max(job.time_left(clock), context.tuning.ping_timeout),
+            linger=context.tuning.running_attempt_wait,
+            after=job.floor,
+        )
     if reply.ok:
         item.record_answer(clock() - started, reply.position, clock(), context.tuning)
+        item.record_served(job.floor)
         item.admission.record_answer(job.kind, clock() - started)
     if reply.refusal in NOT_RUN:
         job.maybe_run -= 1
-    record_refusal(context, item, pooled, reply)
+    record_refusal(context, item, pooled, reply, job.floor)
     return reply
 
 
-def record_refusal(context, item, pooled, reply):
+def record_refusal(context, item, pooled, reply, floor=None):
     """Update the state of the upstream and the connection after a refused read."""
     if reply.refusal is Refusal.LAGGING:
-        item.record_behind(context.clock(), context.tuning)
+        item.record_lagging(floor, reply.position, context.clock())
     if reply.refusal is Refusal.UNKNOWN_NAME:
         pooled.dirty = True
     if reply.refusal is Refusal.BUSY:
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -120,7 +120,7 @@
     number = 0
     while True:
         obstacles = []
-        for upstream in upstream_order(group, job):
+        for upstream in upstream_order(group, job, may_probe=False):
             item = group.upstreams.get(upstream)
             if item is None:
                 continue
@@ -134,6 +134,8 @@
             if begun:
                 return None
             obstacles.append(lagging_obstacle(group, item))
+        # Without obstacles, a replica will have the position in a moment.
+        obstacles = obstacles or [Obstacle()]
         time_left = job.time_left(group.context.clock)
         pause = pause_before_round(obstacles, number=number, time_left=time_left)
         if pause is None:
@@ -199,7 +201,7 @@
         tx.pooled, tx.pool, tx.upstream = pooled, item.pool, item.id
         return True
     if reply.refusal is Refusal.LAGGING:
-        item.record_behind(clock(), context.tuning)
+        item.record_lagging(after, reply.position, clock())
     await roll_back_and_release(group, item.pool, pooled)
     return False
 
