Mend what a review of the merged parts found

Reads: a read that the primary refuses waits for a replica that will have its position soon; before, the merge of placement and rounds refused it at once. When a replica will be ready comes from its progress alone, not also from the lag that commits have seen. Transactions: BEGIN at an upstream with a full queue backs off and lowers the limit; it counted as lag (102 BEGINs of one caller in a second). An abandoned one ends. Refusals: "not run" goes from a read's refusal once an attempt was sent that may have run. Forecasts: idle time does not count as an overdue start (4.5 s forecast after 100 s idle at an empty queue); a kind whose first answer was slow is sent while its fastest one has time. Owners report waits without upstreams from which reads are withheld; an upstream that was not probed for 5 s is probed by any read. Caps: a home that was not home meanwhile starts with few tokens (1,470 operations in a window where 1,120 are tolerated); a reused refusal tells when to return, not when it ends; lower priorities get their share where the burst is 0 or 1 (31 operations of 300 owed).

--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -18,6 +18,7 @@
 
 from gypsum_policy.concurrency import ConcurrencyLimit
 from gypsum_policy.forecast import (
+    PACE_EXPIRY,
     ArrivalRates,
     ForecastCheck,
     Outlook,
@@ -314,8 +315,11 @@
         """What forecasts rest on now."""
         mean = self.times.mean
         overdue = now - self.pace.updated_at - self.completion_interval
+        # While nothing waits, no start is overdue.
+        measured = self.waiting or now - self.pace.updated_at <= PACE_EXPIRY
+        pace_at = now if measured else self.pace.updated_at
         return Outlook(
-            pace=self.pace.estimate(now, mean),
+            pace=self.pace.estimate(pace_at, mean),
             mean=mean,
             correction=self.check.correction,
             overdue=overdue if self.waiting and overdue > SILENCE else 0.0,
--- a/packages/policy/gypsum_policy/forecast.py
+++ b/packages/policy/gypsum_policy/forecast.py
@@ -46,6 +46,7 @@
         self.mean = mean
         self.means = {}
         self.unloaded = {}
+        self.fastest = {}
         self.slowdown = 1.0
 
     def expected(self, kind):
@@ -56,6 +57,10 @@
         """Seconds of a kind at an upstream without a queue; 0 if unknown."""
         return self.unloaded.get(kind, 0.0)
 
+    def shortest(self, kind):
+        """Seconds of the fastest statement of a kind; 0 if unknown."""
+        return self.fastest.get(kind, 0.0)
+
     def record(self, kind, seconds):
         """Add a measured time; updates `slowdown`, the ratio to times without a queue.
 
@@ -67,6 +72,7 @@
         mean = self.means.get(kind, seconds)
         mean += SERVICE_TIME_WEIGHT * (seconds - mean)
         self.means[kind] = mean
+        self.fastest[kind] = min(seconds, self.fastest.get(kind, seconds))
         least = self.unloaded.get(kind, seconds / max(1.0, self.slowdown))
         weight = UNLOADED_FALL if mean < least else UNLOADED_RISE
         least = self.unloaded[kind] = least + weight * (mean - least)
--- a/packages/policy/gypsum_policy/retries.py
+++ b/packages/policy/gypsum_policy/retries.py
@@ -27,14 +27,16 @@
     def __init__(self):
         self.failed_at = {}
         self.skipped = {}
+        self.answered_at = float("-inf")
 
     def record_failure(self, kind, now):
         """Record a failed call of a feed."""
         self.failed_at[kind] = now
         self.skipped[kind] = 0
 
-    def record_success(self, kind):
+    def record_success(self, kind, now):
         """Record an answered call of a feed."""
+        self.answered_at = now
         self.failed_at.pop(kind, None)
 
     def includes(self, kind):
@@ -44,19 +46,23 @@
     def skip_turn(self, kind):
         """Whether a feed that is about to call leaves this turn to another one.
 
-        It does if another feed has failed since it last failed itself; the other's
-        failure then counts as its own.
+        It does if another feed has failed since it last failed itself and no call has
+        been answered since; the other's failure then counts as its own.
         """
         own = self.failed_at.get(kind)
         if own is None or self.skipped[kind] >= MAX_SKIPPED:
             return False
         latest = max(self.failed_at.values())
-        if latest <= own:
+        if latest <= max(own, self.answered_at):
             return False
         self.failed_at[kind] = latest
         self.skipped[kind] += 1
         return True
 
+    def shares_turns(self):
+        """Whether several feeds fail, so that each skips some of its turns."""
+        return len(self.failed_at) > 1
+
     def max_backoff(self):
         """The longest backoff of a feed that does not follow, seconds."""
-        return SHARED_BACKOFF_MAX if len(self.failed_at) > 1 else RETRY_BACKOFF_MAX
+        return SHARED_BACKOFF_MAX if self.shares_turns() else RETRY_BACKOFF_MAX
--- a/packages/policy/gypsum_policy/usagebucket.py
+++ b/packages/policy/gypsum_policy/usagebucket.py
@@ -6,7 +6,7 @@
 token for it soon is granted ahead of time: it begins when the token has accrued.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from gypsum_policy.ratelimit import WINDOW, TokenBucket, bucket_size
 from gypsum_policy.usagepriority import PriorityShares
@@ -22,6 +22,16 @@
 PATIENCE_SHARE = 0.25
 
 
+# Smallest bucket of operations that priorities can share: one may be kept in reserve
+# while another is granted.
+MIN_SHARED_BURST = 2.0
+
+
+def shared_cap(cap):
+    """The cap by which a home's bucket is filled, with room for a reserve."""
+    return replace(cap, burst=max(MIN_SHARED_BURST, cap.burst))
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Demand:
     """Operations of one priority that wait; each may begin up to `patience` later."""
--- a/packages/sessions/gypsum_sessions/daemons/ownerload.py
+++ b/packages/sessions/gypsum_sessions/daemons/ownerload.py
@@ -31,14 +31,21 @@
         leader = group.upstreams.get(group.watch.leader)
         return [leader] if leader is not None else []
     candidates = group.candidates()
+    now, tuning = group.context.clock(), group.context.tuning
     good = [
         item
         for item in candidates
-        if not (item.avoided or item.leaving or item.lagging)
+        if not (item.avoided or item.leaving)
+        and not gets_few_reads(group.upstreams[item.id], now, tuning)
     ]
     return [group.upstreams[item.id] for item in good or candidates]
 
 
+def gets_few_reads(item, now, tuning):
+    """Return whether reads are withheld from an upstream: it lags or fails."""
+    return item.results.suspected or item.behind_for(now, tuning) > 0
+
+
 def expected_wait(item, workspace, now):
     """Wait and seconds per statement at one upstream: its queue, or connections."""
     return max(
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -210,7 +210,9 @@
         return answer
 
     def log_owner_lost(self, job, name, exc):
-        """Log an owner that gave no answer."""
+        """Log an owner that gave no answer; nothing if none was asked."""
+        if not name:
+            return
         job.tried.append(name)
         self.context.log(
             PART,
--- a/packages/sessions/gypsum_sessions/daemons/usage.py
+++ b/packages/sessions/gypsum_sessions/daemons/usage.py
@@ -17,7 +17,7 @@
     isolated_cap,
     standby_cap,
 )
-from gypsum_policy.usagebucket import Demand, WorkspaceBucket
+from gypsum_policy.usagebucket import Demand, WorkspaceBucket, shared_cap
 from gypsum_policy.usagewindow import ReceivedGrants, slot_end
 from gypsum_sessions.daemons.homes import ANSWER_TIMEOUT, FORWARD_TIMEOUT, PART, Homes
 from gypsum_sessions.daemons.peermessages import GrantRequest, GrantResponse
@@ -62,7 +62,8 @@
         self.received = {}
         self.waiters = {}
         self.request_tasks = {}
-        # Until when a refusal is reused, by workspace and priority.
+        # Until when a refusal is reused and when its callers should return, by
+        # workspace and priority.
         self.refused_until = {}
         self.outcomes = {}
         self.outcomes_by_priority = {}
@@ -93,9 +94,10 @@
         """
         if self.catalog.cap(workspace) is None:
             return 0.0
-        left = self.refused_until.get((workspace, priority), 0.0) - self.clock()
-        verdict = Verdict(granted=False, wait=left)
-        if left <= 0:
+        now = self.clock()
+        until, returns_at = self.refused_until.get((workspace, priority), (0.0, 0.0))
+        verdict = Verdict(granted=False, wait=returns_at - now)
+        if until <= now:
             verdict = await self.join_batch(workspace, priority, target_time, patience)
         self.record_outcome(workspace, priority, verdict)
         if not verdict.granted:
@@ -178,8 +180,9 @@
         """Refuse operations, and others of their priorities for a short time."""
         for waiter in waiters:
             waiter.resolve(Verdict(granted=False, wait=wait))
-            until = self.clock() + min(wait, REFUSAL_VALID_FOR)
-            self.refused_until[workspace, waiter.priority] = until
+            now = self.clock()
+            until = now + min(wait, REFUSAL_VALID_FOR)
+            self.refused_until[workspace, waiter.priority] = (until, now + wait)
 
     def record_outcome(self, workspace, priority, verdict):
         """Count an outcome; log the first refusal, and the end of refusals."""
@@ -357,16 +360,19 @@
         """The bucket of a workspace, with the caps in force."""
         homes = self.homes.for_workspace(workspace)
         bucket = self.buckets.get(workspace)
-        if bucket is None or (rank and now - bucket.refilled_at > STALE_AFTER):
+        idle = bucket is not None and now - bucket.refilled_at > STALE_AFTER
+        # Another daemon may have been home since.
+        changed = idle and bucket.refilled_at < self.candidate_since
+        if bucket is None or changed or (rank and idle):
             known_for = 0.0 if rank else now - self.candidate_since
             tokens = initial_tokens(standby_cap(cap) if rank else cap, known_for)
             bucket = self.buckets[workspace] = WorkspaceBucket(
-                cap=cap, now=now, tokens=tokens, homes=homes
+                cap=shared_cap(cap), now=now, tokens=tokens, homes=homes
             )
         bucket.check_homes(homes, now)
         # A standby that knows the window may save up a burst as a home does.
         limited = rank and not bucket.knows_window(now)
-        bucket.set_caps(standby_cap(cap) if limited else cap, cap, now)
+        bucket.set_caps(shared_cap(standby_cap(cap) if limited else cap), cap, now)
         return bucket
 
     def record_elsewhere(self, bucket, request, now):
--- a/packages/sessions/gypsum_sessions/execution/admission.py
+++ b/packages/sessions/gypsum_sessions/execution/admission.py
@@ -133,9 +133,12 @@
         self.queue.record_answer(kind, seconds)
 
     def has_time(self, job):
-        """Return whether the upstream could answer a job in time if it is sent now."""
-        least = self.queue.answer_times.least(job.kind)
-        return job.time_left(self.clock) > least
+        """Return whether the upstream could answer a job in time if it is sent now.
+
+        By its fastest answer: a mean would hold back a kind whose first one was slow.
+        """
+        shortest = self.queue.answer_times.shortest(job.kind)
+        return job.time_left(self.clock) > shortest
 
     async def wait(self, ticket, deadline, usable=None):
         """Wait until a ticket is admitted; raises QueueTimeout if that is too late."""
--- a/packages/sessions/gypsum_sessions/execution/jobs.py
+++ b/packages/sessions/gypsum_sessions/execution/jobs.py
@@ -102,6 +102,11 @@
         for withdraw in list(self.withdrawals):
             withdraw()
 
+    @property
+    def may_have_run(self):
+        """Whether an attempt was sent that did not turn out not to have run."""
+        return bool(self.maybe_run or self.orphaned)
+
     @property
     def running(self):
         """Whether attempts of which the end will be known still run."""
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -1,7 +1,7 @@
 """Single reads: a minimum position, an order of upstreams, and hedged attempts."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from gypsum_policy.admission import QueueTimeout, retry_after_ms
 from gypsum_policy.rounds import (
@@ -22,9 +22,10 @@
 )
 from gypsum_sessions.takeover.floors import later
 from gypsum_sessions.upstreams.pooled import sync_session_state
-from gypsum_sessions.upstreams.readplacement import place_read
+from gypsum_sessions.upstreams.readplacement import SUSPECTED, place_read
 
 PART = "read"
+NOT_RUN_PREFIX = "not run, "
 # Refusals after which another upstream may still answer the read.
 RETRY_ELSEWHERE = frozenset(
     {
@@ -73,6 +74,11 @@
 
 async def run_read(group, job):
     """Run a read at any upstream that may serve it; returns the caller's reply."""
+    return truthful_refusal(job, await run_rounds(group, job))
+
+
+async def run_rounds(group, job):
+    """Run rounds of a read until one gives a reply or no further one can."""
     if not await find_floor(group, job):
         return no_leader_reply(group.context.tuning)
     number = 0
@@ -85,8 +91,9 @@
             return attempts[-1].reply
         if job.abandoned:
             return abandoned_reply(job)
-        # Without attempts, a replica will have the position in a moment.
-        obstacles = [obstacle_of(group, item) for item in attempts] or [Obstacle()]
+        obstacles = [obstacle_of(group, job, item) for item in attempts]
+        obstacles += withheld_obstacles(group, job)
+        obstacles = obstacles or [Obstacle()]
         time_left = job.time_left(group.context.clock)
         pause = pause_before_round(obstacles, number=number, time_left=time_left)
         if pause is None:
@@ -95,39 +102,50 @@
         number += 1
 
 
-def obstacle_of(group, attempt):
+def obstacle_of(group, job, attempt):
     """Why an upstream gave no answer, for the decision about another round."""
     if attempt.wait is not None:
         return Obstacle(queued=True, ready_in=attempt.wait)
     item = group.upstreams.get(attempt.upstream)
     lagging = attempt.reply is not None and attempt.reply.refusal is Refusal.LAGGING
     if lagging and item is not None:
-        return lagging_obstacle(group, item)
+        return lagging_obstacle(group, job, item)
     return Obstacle()
 
 
-def lagging_obstacle(group, item):
-    """When an upstream that lacked a read's position is expected to have it."""
-    tuning = group.context.tuning
-    behind_for = item.behind_for(group.context.clock(), tuning)
-    ready_in = expected_lag(usual=item.apply_lag, behind_for=behind_for)
+def withheld_obstacles(group, job):
+    """When replicas that a read was not sent to are expected to have its position."""
+    items = [
+        group.upstreams[name]
+        for name, why in job.left_out.items()
+        if why != SUSPECTED and name in group.upstreams
+    ]
+    return [lagging_obstacle(group, job, item) for item in items]
+
+
+def lagging_obstacle(group, job, item):
+    """When an upstream that lacked a read's position is expected to have it.
+
+    One that shows no progress is expected to lack it for as long again.
+    """
+    now, tuning = group.context.clock(), group.context.tuning
+    reached_at = group.floors.expected_reached_at(job.floor, now)
+    usual = max(0.0, item.progress.ready_in(reached_at, now))
+    behind_for = item.behind_for(now, tuning) if item.progress.stopped else 0.0
+    ready_in = expected_lag(usual=usual, behind_for=behind_for)
     return Obstacle(lagging=True, ready_in=ready_in)
 
 
 def refuse_read(group, job, obstacles):
     """The refusal of a read that no upstream can run in time."""
-    if job.maybe_run:
+    if job.may_have_run:
         return Reply(refusal=Refusal.TIMEOUT, detail="no upstream answered in time")
     if obstacles and all(item.lagging for item in obstacles):
         return lagging_reply(job, retry_wait(obstacles))
     queued = [item for item in obstacles if item.queued]
     if queued:
         return overloaded_reply(job, retry_wait(queued))
-    return Reply(
-        refusal=Refusal.BUSY,
-        detail="not run, no upstream was able to run it in time",
-        retry_after_ms=group.context.tuning.busy_retry_after_ms,
-    )
+    return unable_reply(group.context.tuning)
 
 
 async def run_round(group, job):
@@ -287,7 +305,11 @@
         return Attempt(upstream=item.id, reply=None, detail=str(exc))
     finally:
         item.pool.release(pooled)
-    return Attempt(upstream=item.id, reply=reply, detail="" if reply else "too late")
+    if reply is None:
+        # Not tried again: the time left only gets shorter.
+        wait = item.admission.queue.mean_service_time
+        return Attempt(upstream=item.id, reply=None, detail="too late", wait=wait)
+    return Attempt(upstream=item.id, reply=reply)
 
 
 async def ask_read(group, job, item, pooled):
@@ -363,6 +385,15 @@
     )
 
 
+def unable_reply(tuning):
+    """The refusal of work that no upstream was able to run; it has not run."""
+    return Reply(
+        refusal=Refusal.BUSY,
+        detail="not run, no upstream was able to run it in time",
+        retry_after_ms=tuning.busy_retry_after_ms,
+    )
+
+
 def overloaded_reply(job, wait):
     """The refusal of work that can't be answered in time; it has not run."""
     job.queue_wait = wait
@@ -375,10 +406,20 @@
 
 def abandoned_reply(job):
     """The reply to a job whose caller has left; nobody reads it."""
-    not_run = "" if job.maybe_run else "not run, "
+    not_run = "" if job.may_have_run else NOT_RUN_PREFIX
     return Reply(refusal=Refusal.BUSY, detail=f"{not_run}the caller has left")
 
 
+def truthful_refusal(job, reply):
+    """The reply without "not run" if an attempt was sent that may have run.
+
+    Another attempt, at another upstream or owner, may be the one that was refused.
+    """
+    if reply.ok or not job.may_have_run:
+        return reply
+    return replace(reply, detail=reply.detail.removeprefix(NOT_RUN_PREFIX))
+
+
 def key_withdrawn_reply():
     """The refusal of work whose caller's key was withdrawn while it waited."""
     return Reply(refusal=Refusal.UNKNOWN_KEY, detail=f"not run, {KEY_WITHDRAWN}")
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -19,7 +19,9 @@
     log_refused,
     no_leader_reply,
     overloaded_reply,
+    unable_reply,
     upstream_order,
+    withheld_obstacles,
 )
 from gypsum_sessions.execution.writes import (
     NotSent,
@@ -106,11 +108,11 @@
         timeout = wait_until - clock()
         if not await can_confirm(group, item.id, timeout=timeout):
             return cannot_confirm_reply(context.tuning)
-        if await begin_at(group, tx, job, item, BEGIN_READ_WRITE):
+        if await begin_at(group, tx, job, item, BEGIN_READ_WRITE) is None:
             return None
         group.watch.recheck(item.id)
         await asyncio.sleep(BUSY_PAUSE)
-    return no_leader_reply(context.tuning)
+    return abandoned_reply(job) if job.abandoned else no_leader_reply(context.tuning)
 
 
 async def open_reading(group, tx, job):
@@ -119,41 +121,50 @@
         return no_leader_reply(group.context.tuning)
     number = 0
     while True:
+        if job.abandoned:
+            return abandoned_reply(job)
+        if not group.candidates():
+            return no_leader_reply(group.context.tuning)
         obstacles = []
         for upstream in upstream_order(group, job, may_probe=False):
             item = group.upstreams.get(upstream)
             if item is None:
                 continue
             try:
-                begun = await begin_at(
+                refusal = await begin_at(
                     group, tx, job, item, BEGIN_READ_ONLY, after=job.floor
                 )
             except QueueTimeout as exc:
                 obstacles.append(Obstacle(queued=True, ready_in=exc.wait))
                 continue
-            if begun:
+            if refusal is None:
                 return None
-            obstacles.append(lagging_obstacle(group, item))
-        # Without obstacles, a replica will have the position in a moment.
+            lagging = refusal is Refusal.LAGGING
+            obstacles.append(
+                lagging_obstacle(group, job, item) if lagging else Obstacle()
+            )
+        obstacles += withheld_obstacles(group, job)
         obstacles = obstacles or [Obstacle()]
         time_left = job.time_left(group.context.clock)
         pause = pause_before_round(obstacles, number=number, time_left=time_left)
         if pause is None:
-            return refuse_begin(job, obstacles)
+            return refuse_begin(job, obstacles, group.context.tuning)
         await asyncio.sleep(pause)
         number += 1
 
 
-def refuse_begin(job, obstacles):
+def refuse_begin(job, obstacles, tuning):
     """The refusal of a read-only transaction that no upstream can open in time."""
     queued = [item for item in obstacles if item.queued]
     if queued:
         return overloaded_reply(job, retry_wait(queued))
-    return lagging_reply(job, retry_wait(obstacles))
+    if obstacles and all(item.lagging for item in obstacles):
+        return lagging_reply(job, retry_wait(obstacles))
+    return unable_reply(tuning)
 
 
 async def begin_at(group, tx, job, item, statement, after=None):
-    """Open the transaction at one upstream once admitted; return whether it is open.
+    """Open the transaction at one upstream once admitted; returns as `send_begin`.
 
     Raises QueueTimeout or JobAbandoned. Without admission, bursts of transactions would
     hold all connections while statements of higher priority wait.
@@ -165,26 +176,29 @@
         async with item.admission.enqueue(job, kind=kind, usable=usable) as place:
             if not group.context.catalog.is_valid(job.credential):
                 raise KeyWithdrawn
-            begun = await send_begin(group, tx, job, item, statement, after)
-            if not begun:
+            refusal = await send_begin(group, tx, job, item, statement, after)
+            if refusal is not None:
                 place.release()
-            return begun
+            return refusal
     except QueueTimeout as exc:
         log_refused(group, job, item, exc)
         raise
     except UpstreamUnusable:
-        return False
+        return Refusal.READ_ONLY
 
 
 async def send_begin(group, tx, job, item, statement, after):
-    """Open the transaction at one upstream; return whether it is open."""
+    """Open the transaction at one upstream.
+
+    Returns None once it is open, else the refusal, FAILED if there was no answer.
+    """
     context, clock = group.context, group.context.clock
     try:
         pooled = await acquire_verified(group, item, job)
     except NotSent as exc:
         item.record_failure(exc.__cause__, clock(), context.tuning)
         context.log(PART, "not begun", request=job.request, error=str(exc))
-        return False
+        return Refusal.FAILED
     try:
         await sync_session(group, job, pooled)
         pooled.in_transaction = True
@@ -196,14 +210,16 @@
         pooled.conn.close()
         item.pool.release(pooled)
         context.log(PART, "not begun", request=job.request, error=str(exc))
-        return False
+        return Refusal.FAILED
     if reply.ok:
         tx.pooled, tx.pool, tx.upstream = pooled, item.pool, item.id
-        return True
+        return None
     if reply.refusal is Refusal.LAGGING:
         item.record_lagging(after, reply.position, clock())
+    if reply.refusal is Refusal.BUSY:
+        item.admission.queue.record_rejection(clock())
     await roll_back_and_release(group, item.pool, pooled)
-    return False
+    return reply.refusal
 
 
 async def run_in_transaction(group, tx, job):
@@ -263,7 +279,7 @@
         item = group.upstreams.get(tx.upstream)
         if item is not None:
             item.admission.queue.record_rejection(clock())
-        if job.time_left(clock) <= 2 * BUSY_PAUSE:
+        if job.abandoned or job.time_left(clock) <= 2 * BUSY_PAUSE:
             return reply
         await asyncio.sleep(BUSY_PAUSE)
 
--- a/packages/sessions/gypsum_sessions/upstreams/readplacement.py
+++ b/packages/sessions/gypsum_sessions/upstreams/readplacement.py
@@ -13,6 +13,11 @@
 from gypsum_sessions.statements import ROLLBACK
 
 PART = "placement"
+# Reason in `Job.left_out` of an upstream whose results are worse than others'.
+SUSPECTED = "suspected"
+# An upstream that was not probed for this long, seconds, is probed by a read that may
+# miss its latency target: where all targets are short it would never recover.
+NEGLECTED_AFTER = 5.0
 
 
 def place_read(group, job, *, may_probe):
@@ -119,7 +124,7 @@
         else:
             suspected = True
             suspects.add(item.id)
-            job.left_out[item.id] = "suspected"
+            job.left_out[item.id] = SUSPECTED
         if suspected != before:
             log_suspicion(group, item, suspected, now)
     return suspects
@@ -140,8 +145,8 @@
 def probe_target(group, job, ready, usable, now):
     """The upstream that this read may try though others are better, or None.
 
-    Only a read that can still be answered within its latency target if the attempt
-    hangs and a second upstream, which has room, is asked.
+    Usually only a read that can still be answered within its latency target if the
+    attempt hangs and a second upstream, which has room, is asked.
     """
     if job.route.rule is ReadRule.PRIMARY:
         return None
@@ -158,6 +163,7 @@
         ]
         lost = group.hedge_delay(item) + min(others, default=float("inf"))
         in_time = now + lost <= job.admission_request().target_time
-        if in_time and item.results.probe_due(now):
+        neglected = others and now - item.results.probe_at > NEGLECTED_AFTER
+        if (in_time or neglected) and item.results.probe_due(now):
             return item
     return None
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -254,3 +254,12 @@
     outlook = queue.outlook(1.0)
     assert outlook.pace < 1.0
     assert queue.share_left(1, True, outlook.pace, 1.0) == pytest.approx(0.75, abs=0.05)
+
+
+def test_idle_time_does_not_lengthen_the_forecast():
+    """Guards against retry times of seconds from a queue that was empty for long."""
+    queue = full_queue()
+    ticket = queue.admit(request(), 0.0)
+    queue.finish(MEAN)
+    queue.start_next(MEAN, {ticket})
+    assert queue.expected_wait(None, 300.0) < 10 * MEAN
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -45,7 +45,7 @@
     failed = FailedFeeds()
     failed.record_failure("config", 0.0)
     failed.record_failure("servers", 1.0)
-    failed.record_success("servers")
+    failed.record_success("servers", 2.0)
     assert not failed.includes("servers")
     assert not failed.skip_turn("config")
     assert failed.max_backoff() == RETRY_BACKOFF_MAX
--- a/tests/policy/test_usagebucket.py
+++ b/tests/policy/test_usagebucket.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from gypsum_policy.ratelimit import WINDOW, Cap, standby_cap
-from gypsum_policy.usagebucket import Demand, WorkspaceBucket, patience
+from gypsum_policy.usagebucket import Demand, WorkspaceBucket, patience, shared_cap
+from gypsum_policy.usagepriority import OWED_SHARE
 from gypsum_policy.usagewindow import window_limit
 
 CAP = Cap(rate=40.0, burst=40.0, version=1)
@@ -136,3 +137,15 @@
 def test_an_operation_waits_for_a_part_of_its_target():
     assert patience(0.4, 1.0) == 0.1
     assert patience(2.0, 0.4) == 0.1
+
+
+def test_lower_priorities_get_their_share_without_a_burst():
+    """Guards against starving them where a bucket holds a single operation."""
+    cap = Cap(rate=20.0, burst=0.0, version=1)
+    bucket = WorkspaceBucket(cap=shared_cap(cap), now=0.0, tokens=0.0)
+    begun = {0: 0, 1: 0, 2: 0}
+    for step in range(1200):
+        demands = [Demand(priority=p, count=2, patience=0.1) for p in begun]
+        for item in bucket.grant(demands, 0.05 * step):
+            begun[item.priority] += item.ready + len(item.delays)
+    assert min(begun.values()) >= 0.6 * OWED_SHARE * cap.rate * 60
--- a/tests/sessions/test_read_placement.py
+++ b/tests/sessions/test_read_placement.py
@@ -10,10 +10,15 @@
 
 import pytest
 
+from gypsum_policy.admission import QueueTimeout, RefusalCause
+from gypsum_sessions.execution import transactions
+from gypsum_sessions.execution.jobs import Job
+from gypsum_sessions.execution.reads import no_leader_reply, truthful_refusal
 from gypsum_sessions.replies import Refusal
 from gypsum_sessions.statements import STATUS
+from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
 from gypsum_sessions.upstreams import readplacement
-from tests.sessions.rig import Rig
+from tests.sessions.rig import Rig, catalog
 from tests.sessions.vclock import run
 
 DAEMONS = 3
@@ -270,3 +275,66 @@
         assert asked <= len(rig.group.replicas())
 
     run(main())
+
+
+def test_a_read_waits_for_a_replica_when_the_primary_has_no_room():
+    """Guards against refusals at once although a replica is ready in a moment."""
+
+    async def main():
+        rig = Rig()
+        for member in rig.group.replicas():
+            member.lag = USUAL_LAG
+        await rig.settle()
+        caller = rig.caller("own")
+        for number in range(20):
+            await caller.send(f"WRITE a {number}")
+            await caller.send("READ a")
+        group = rig.proxy.groups["db"]
+        primary = group.upstreams[group.watch.leader].admission
+        full = QueueTimeout(0.6, cause=RefusalCause.QUEUE_TOO_LONG)
+        await caller.send("WRITE a last")
+        with patch.object(primary, "enqueue", side_effect=full):
+            began = rig.loop.time()
+            reply = await caller.send("READ a")
+        assert reply.rows == (("last"),)
+        assert rig.loop.time() - began < 2 * USUAL_LAG
+
+    run(main())
+
+
+def test_refused_begins_lower_the_limit_and_back_off():
+    """Guards against a hundred BEGINs a second of one caller at full upstreams."""
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        caller, begins = rig.caller("bounded"), 0
+
+        async def refuse(group, tx, job, item, statement, after):
+            nonlocal begins
+            begins += 1
+            return Refusal.BUSY
+
+        with patch.object(transactions, "send_begin", refuse):
+            await caller.send("BEGIN READ")
+            reply = await caller.send("READ a")
+        assert reply.refusal in (Refusal.ABORTED, Refusal.BUSY)
+        assert begins < 40
+
+    run(main())
+
+
+def test_a_refusal_does_not_say_not_run_after_a_lost_attempt():
+    """Guards against "not run" from a second owner while the first may have run it."""
+    job = Job(
+        request="1",
+        statement=STATUS,
+        route=catalog().routes["own"],
+        arrived=0.0,
+        deadline=1.0,
+        values={},
+    )
+    refused = no_leader_reply(DEFAULT_SESSION_TUNING)
+    assert truthful_refusal(job, refused) == refused
+    job.orphaned = True
+    assert "not run" not in truthful_refusal(job, refused).detail
--- a/tests/sessions/test_usage_priorities.py
+++ b/tests/sessions/test_usage_priorities.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gypsum_policy.ratelimit import WINDOW
+from gypsum_policy.ratelimit import INITIAL_TOKENS, WINDOW
 from gypsum_sessions.daemons.peermessages import GrantRequest, GrantResponse
 from tests.sessions.test_usage import (
     CAP,
@@ -221,3 +221,54 @@
         assert sum(home.usage.buckets["north"].window.foreign.values()) == granted
 
     run(main())
+
+
+def test_a_home_that_is_home_again_has_no_burst_left():
+    """Guards against a full burst beside what the home in between has granted."""
+
+    async def main():
+        rig = await priority_rig()
+        usage = next(p.usage for p in rig.proxies if p.name == home_of(rig))
+
+        def wanted(count):
+            request = GrantRequest(
+                call=0,
+                workspace="north",
+                wanted=count,
+                cap=CAP,
+                forwarded=True,
+                waiting=((0, count, 0.0),),
+            )
+            return usage.grant_as_home(request, count, CAP, 0).granted
+
+        wanted(1)
+        await asyncio.sleep(4 * WINDOW)
+        usage.daemons_changed()
+        assert wanted(round(CAP.burst)) <= INITIAL_TOKENS
+
+    run(main())
+
+
+def test_a_reused_refusal_tells_when_to_return():
+    """Guards against callers who are all told to return within the tenth of a second
+    for which a daemon reuses a refusal."""
+
+    async def main():
+        rig = await priority_rig()
+        usage = rig.proxy.usage
+        usage.refuse("north", [Waiting(priority=2)], 0.9)
+        await asyncio.sleep(0.05)
+        wait = await usage.acquire("north", priority=2)
+        assert wait == pytest.approx(0.85, abs=0.01)
+
+    run(main())
+
+
+class Waiting:
+    """An operation that waits, without a caller."""
+
+    def __init__(self, *, priority):
+        self.priority = priority
+
+    def resolve(self, verdict):
+        """Ignore the verdict."""
