Refusals of statements have a module of their own

A read that one owner may have run before its link broke is not refused as "not run" by the next owner either.

--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -21,6 +21,7 @@
 )
 from gypsum_sessions.daemons.peers import PeerLost
 from gypsum_sessions.daemons.standbys import CANDIDATES_PER_OWNER
+from gypsum_sessions.execution.refusals import truthful_refusal
 from gypsum_sessions.execution.transactions import aborted_reply
 from gypsum_sessions.replies import Refusal, Reply
 
@@ -47,7 +48,8 @@
 
     async def read(self, job):
         """Run a read; it is retried at another owner if one fails."""
-        return await self.run(job, repeatable=True)
+        reply = await self.run(job, repeatable=True)
+        return reply and truthful_refusal(job, reply)
 
     async def write(self, job):
         """Run a write; it is retried only if it was never sent."""
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -31,7 +31,8 @@
     encode,
 )
 from gypsum_sessions.execution.jobs import Job
-from gypsum_sessions.execution.reads import key_withdrawn_reply, run_read
+from gypsum_sessions.execution.reads import run_read
+from gypsum_sessions.execution.refusals import key_withdrawn_reply
 from gypsum_sessions.execution.transactions import Transaction, aborted_reply
 from gypsum_sessions.execution.writes import run_write
 from gypsum_sessions.replies import KEY_WITHDRAWN, Refusal, Reply
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -1,9 +1,9 @@
 """Single reads: a minimum position, an order of upstreams, and hedged attempts."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
-from gypsum_policy.admission import QueueTimeout, retry_after_ms
+from gypsum_policy.admission import QueueTimeout
 from gypsum_policy.rounds import (
     Obstacle,
     expected_lag,
@@ -13,8 +13,17 @@
 from gypsum_sessions.catalog import ReadRule
 from gypsum_sessions.execution.admission import JobAbandoned
 from gypsum_sessions.execution.jobs import send_statement
+from gypsum_sessions.execution.refusals import (
+    abandoned_reply,
+    key_withdrawn_reply,
+    lagging_reply,
+    log_refused,
+    no_leader_reply,
+    overloaded_reply,
+    truthful_refusal,
+    unable_reply,
+)
 from gypsum_sessions.replies import (
-    KEY_WITHDRAWN,
     NOT_RUN,
     Refusal,
     Reply,
@@ -25,7 +34,6 @@
 from gypsum_sessions.upstreams.readplacement import SUSPECTED, place_read
 
 PART = "read"
-NOT_RUN_PREFIX = "not run, "
 # Refusals after which another upstream may still answer the read.
 RETRY_ELSEWHERE = frozenset(
     {
@@ -359,76 +367,3 @@
         pooled.dirty = True
     if reply.refusal is Refusal.BUSY:
         item.admission.queue.record_rejection(context.clock())
-
-
-def log_refused(group, job, item, exc):
-    """Log why a statement was not admitted to an upstream's queue."""
-    group.context.log(
-        "admission",
-        "refused",
-        request=job.request,
-        upstream=item.id,
-        cause=str(exc.cause),
-        forecast_ms=round(exc.forecast * 1000),
-        queued=exc.queued,
-        limit=exc.limit,
-        time_left_ms=round(job.time_left(group.context.clock) * 1000),
-    )
-
-
-def lagging_reply(job, wait):
-    """The refusal of a read whose position no upstream has; it has not run."""
-    return Reply(
-        refusal=Refusal.LAGGING,
-        detail="not run, no upstream has the position yet",
-        retry_after_ms=retry_after_ms(wait, job.request),
-    )
-
-
-def unable_reply(tuning):
-    """The refusal of work that no upstream was able to run; it has not run."""
-    return Reply(
-        refusal=Refusal.BUSY,
-        detail="not run, no upstream was able to run it in time",
-        retry_after_ms=tuning.busy_retry_after_ms,
-    )
-
-
-def overloaded_reply(job, wait):
-    """The refusal of work that can't be answered in time; it has not run."""
-    job.queue_wait = wait
-    return Reply(
-        refusal=Refusal.BUSY,
-        detail=f"not run, the queue takes {wait * 1000:.0f} ms",
-        retry_after_ms=retry_after_ms(wait, job.request),
-    )
-
-
-def abandoned_reply(job):
-    """The reply to a job whose caller has left; nobody reads it."""
-    not_run = "" if job.may_have_run else NOT_RUN_PREFIX
-    return Reply(refusal=Refusal.BUSY, detail=f"{not_run}the caller has left")
-
-
-def truthful_refusal(job, reply):
-    """The reply without "not run" if an attempt was sent that may have run.
-
-    Another attempt, at another upstream or owner, may be the one that was refused.
-    """
-    if reply.ok or not job.may_have_run:
-        return reply
-    return replace(reply, detail=reply.detail.removeprefix(NOT_RUN_PREFIX))
-
-
-def key_withdrawn_reply():
-    """The refusal of work whose caller's key was withdrawn while it waited."""
-    return Reply(refusal=Refusal.UNKNOWN_KEY, detail=f"not run, {KEY_WITHDRAWN}")
-
-
-def no_leader_reply(tuning):
-    """The refusal of work that needs a leader while there is none."""
-    return Reply(
-        refusal=Refusal.BUSY,
-        detail="not run, the group has no proven primary",
-        retry_after_ms=tuning.retry_after_ms,
-    )
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -11,17 +11,19 @@
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import ask_upstream
 from gypsum_sessions.execution.reads import (
-    abandoned_reply,
     find_floor,
-    key_withdrawn_reply,
     lagging_obstacle,
+    upstream_order,
+    withheld_obstacles,
+)
+from gypsum_sessions.execution.refusals import (
+    abandoned_reply,
+    key_withdrawn_reply,
     lagging_reply,
     log_refused,
     no_leader_reply,
     overloaded_reply,
     unable_reply,
-    upstream_order,
-    withheld_obstacles,
 )
 from gypsum_sessions.execution.writes import (
     NotSent,
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -6,7 +6,7 @@
 from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
 from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
 from gypsum_sessions.execution.jobs import send_statement
-from gypsum_sessions.execution.reads import (
+from gypsum_sessions.execution.refusals import (
     abandoned_reply,
     key_withdrawn_reply,
     log_refused,
--- a/tests/sessions/test_loadmetrics.py
+++ b/tests/sessions/test_loadmetrics.py
@@ -6,7 +6,7 @@
 from gypsum_sessions.callers.refusalcauses import cause_of
 from gypsum_sessions.daemons.remote import no_owner
 from gypsum_sessions.execution.jobs import Job
-from gypsum_sessions.execution.reads import (
+from gypsum_sessions.execution.refusals import (
     abandoned_reply,
     no_leader_reply,
     overloaded_reply,
--- a/tests/sessions/test_read_placement.py
+++ b/tests/sessions/test_read_placement.py
@@ -13,7 +13,7 @@
 from gypsum_policy.admission import QueueTimeout, RefusalCause
 from gypsum_sessions.execution import transactions
 from gypsum_sessions.execution.jobs import Job
-from gypsum_sessions.execution.reads import no_leader_reply, truthful_refusal
+from gypsum_sessions.execution.refusals import no_leader_reply, truthful_refusal
 from gypsum_sessions.replies import Refusal
 from gypsum_sessions.statements import STATUS
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
