--- a/packages/policy/gypsum_policy/forecast.py
+++ b/packages/policy/gypsum_policy/forecast.py
@@ -187,7 +187,7 @@
     """Compares forecast with actual waits and corrects the forecasts to come.
 
     `error` is the mean difference in seconds; `correction` multiplies forecasts. It is
-    a ratio of means: that of single waits would be ruled by the shortest ones.
+    a ratio of means: that of single waits would be dominated by the shortest ones.
     """
 
     def __init__(self):
--- a/packages/policy/gypsum_policy/retries.py
+++ b/packages/policy/gypsum_policy/retries.py
@@ -4,13 +4,13 @@
 daemons keep three feeds each. If each feed retried by itself, 88 daemons would make
 1,610 calls in ten seconds, all refused. The feeds of a daemon that get no answer
 therefore take turns, since one answer tells all of them that the store is back.
-Followers, which serve by what they know and hear from a watcher when the store is back,
-begin with a longer backoff.
+Followers, which serve by what they know and are told by a watcher when the store is
+back, begin with a longer backoff.
 """
 
 # Backoff after failed calls, seconds: it doubles up to the maximum, and a random part
 # is added. A single feed may fail because its answers are large, so that it calls less
-# often than feeds that take turns, of which each hears when another one succeeds.
+# often than feeds that take turns, each of which is woken when another one succeeds.
 RETRY_BACKOFF_MIN = 0.1
 RETRY_BACKOFF_MAX = 1.0
 SHARED_BACKOFF_MAX = 0.5
--- a/packages/policy/gypsum_policy/upstream_health.py
+++ b/packages/policy/gypsum_policy/upstream_health.py
@@ -1,4 +1,4 @@
-"""Which upstreams of a group to leave to gentle probes, by the results of reads.
+"""Which upstreams of a group get only single probing reads, by the results of reads.
 
 Load pattern: an upstream that is several times slower than the others of its group, or
 that fails or leaves unanswered part of its requests, while its health probe is good.
--- a/packages/sessions/gypsum_sessions/upstreams/upstream.py
+++ b/packages/sessions/gypsum_sessions/upstreams/upstream.py
@@ -29,7 +29,7 @@
     def failed(self):
         """Whether it failed; None if the reply says nothing of the upstream's health.
 
-        An upstream with a full queue or a shorter log is not ill.
+        A full queue and a shorter log are no failures.
         """
         if self.reply.ok:
             return False
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -104,8 +104,12 @@
     assert modules & LATE_MODULES == set()
 
 
-@pytest.mark.parametrize("text", ["", "no JSON", "[]", '{"callers": 1}', "{}"])
+@pytest.mark.parametrize(
+    "text",
+    ["", "no JSON", "[]", '{"callers": 1}', '{"callers": "127.0.0.1:70000"}', "{}"],
+)
 def test_unusable_settings_open_no_port(tmp_path, text):
+    """Guards against a traceback in place of the settings error."""
     path = tmp_path / "settings.json"
     assert open_callers_port(path) is None
     path.write_text(text)
--- a/tests/policy/test_usagebucket.py
+++ b/tests/policy/test_usagebucket.py
@@ -40,6 +40,7 @@
 
 @given(CAPS, STEPS, st.floats(0, 0.3))
 def test_no_window_grants_more_than_the_cap(cap, steps, longest):
+    """Guards against operations beyond a cap in some window, with grants ahead."""
     now, bucket = 0.0, WorkspaceBucket(cap=cap, now=0.0, tokens=cap.burst)
     begins = []
     for pause, priority, count in steps:
