A pace measured across a stall refuses nobody

Cause: the pace is work started over the last quarter second; the first start after a stall counts the whole stall, so the pace is almost 0 for a moment. Change: the pace is at least a tenth of the running statements. An upstream that is slower shows in service times, a silent one in overdue starts, which still refuse. An owner with room is not reported as passed over.

--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -43,6 +43,10 @@
 LOWER_PRIORITY_PART = 8
 # Seconds without a start that say more than the pace: the upstream may be silent.
 SILENCE = 0.25
+# The pace is at least this part of the running statements: after a stall it would be
+# almost 0 for a moment, and an upstream that is slower than this shows in the service
+# times and in overdue starts.
+LEAST_PACE_SHARE = 0.1
 # Part of the pace that late statements are assumed to get in any overload.
 LEAST_LATE_SHARE = 0.1
 
@@ -318,8 +322,9 @@
         # While nothing waits, no start is overdue.
         measured = self.waiting or now - self.pace.updated_at <= PACE_EXPIRY
         pace_at = now if measured else self.pace.updated_at
+        pace = self.pace.estimate(pace_at, mean)
         return Outlook(
-            pace=self.pace.estimate(pace_at, mean),
+            pace=max(pace, LEAST_PACE_SHARE * self.running),
             mean=mean,
             correction=self.check.correction,
             overdue=overdue if self.waiting and overdue > SILENCE else 0.0,
--- a/packages/sessions/gypsum_sessions/daemons/remote.py
+++ b/packages/sessions/gypsum_sessions/daemons/remote.py
@@ -151,7 +151,7 @@
         if not full or self.helpers:
             return usual
         names = self.owners(job.workspace, full)
-        if names[0] != usual[0]:
+        if usual[0] in full and names[0] != usual[0]:
             self.peers.spread[self.spec.name] += 1
             job.passed_over, job.passed_over_wait = usual[0], waits[usual[0]]
         return names
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -263,3 +263,14 @@
     queue.finish(MEAN)
     queue.start_next(MEAN, {ticket})
     assert queue.expected_wait(None, 300.0) < 10 * MEAN
+
+
+def test_a_stall_that_has_ended_refuses_nobody():
+    """Guards against forecasts of many seconds behind a few waiting statements."""
+    queue = full_queue(limit=8)
+    waiting = [queue.admit(request(target_time=9.0, deadline=9.0), 0.0)]
+    queue.finish(2.0, MEAN)
+    queue.start_next(2.0, set(waiting))
+    for _ in range(7):
+        assert queue.admit(request(target_time=9.0, deadline=5.0), 2.01) is not None
+    assert queue.expected_wait(None, 2.01) < 0.5
