--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -46,7 +46,7 @@
 # The pace is at least this part of the running statements: after a stall it would be
 # almost 0 for a moment, and an upstream that is slower than this shows in the service
 # times and in overdue starts.
-LEAST_PACE_SHARE = 0.1
+LEAST_PACE_SHARE = 0.2
 # Part of the pace that late statements are assumed to get in any overload.
 LEAST_LATE_SHARE = 0.1
 
