--- a/packages/policy/gypsum_policy/admission.py
+++ b/packages/policy/gypsum_policy/admission.py
@@ -48,7 +48,7 @@
 # times and in overdue starts.
 LEAST_PACE_SHARE = 0.2
 # Part of the pace that late statements are assumed to get in any overload.
-LEAST_LATE_SHARE = 0.1
+LEAST_LATE_SHARE = 0.25
 
 
 def retry_after_ms(wait, request_id):
