Log what changes an upstream's state, and statements that go to a leaving one

The record of the incident could not tell late news, forgotten news and a wait after the choice apart: a whole list left no line for the upstreams that it changed, the line of a single entry had neither source nor revision, and nothing said what was known of an upstream when a statement went there. Now each change names its source (feed, the list of a takeover, the record) and revision, a statement to an upstream that leaves or is missing has a line with how long that was known, and explain-request says so.

What happens to members moved from proxy.py to upstreams/membership.py. No decision changes.

--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -18,12 +18,14 @@
 CONTEXT_SECONDS = 3.0
 # Parts whose events explain a group's state.
 GROUP_PARTS = frozenset(
-    {"leader", "takeover", "confirm", "reach", "hosting", "placement"}
+    {"leader", "takeover", "confirm", "reach", "hosting", "placement", "proxy"}
 )
 # Parts whose events explain a daemon's state.
 DAEMON_PARTS = frozenset({"daemon", "drain", "peers", "relay", "store"})
 # Events of a workspace: its cap, and keys that were withdrawn.
 WORKSPACE_EVENTS = frozenset({"over its cap", "let in again", "key withdrawn"})
+# Logged by the daemon that sends a request to such an upstream.
+SENT_TO_LEAVING = "sent to an upstream that leaves or is missing"
 REFUSAL_TEXTS = {
     "busy": "It has not run: {detail}. The caller got a retry time.",
     "aborted": "Its transaction was rolled back without effect: {detail}.",
@@ -128,6 +130,7 @@
         yield f"  {format_event(line, home)}"
     yield describe_outcome(trace.final_event)
     yield from describe_owner(trace.final_event)
+    yield from describe_leaving(trace.events)
     yield from describe_configuration(trace.final_event)
     if trace.context_events:
         yield "related events:"
@@ -165,6 +168,23 @@
         yield "Its caller left before the answer."
 
 
+def describe_leaving(events):
+    """Yield what was known of upstreams that were leaving or missing when asked."""
+    for line in events:
+        if line["event"] != SENT_TO_LEAVING:
+            continue
+        known = [
+            f"{name} for {line[field] / 1000:.1f} s"
+            for name, field in (("leaving", "leaving_ms"), ("missing", "missing_ms"))
+            if line[field] is not None
+        ]
+        yield (
+            f"{line['daemon']} knew {line['upstream']} to be {' and '.join(known)} "
+            f"when it sent the request there (entry of revision {line['revision']} "
+            f"from {line['source']})."
+        )
+
+
 def describe_configuration(line):
     """Yield the configuration used for the request, and when it was last confirmed.
 
--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -339,6 +339,7 @@
         return None
     if not item.admission.has_time(job):
         return None
+    group.log_sent(item, job)
     started = clock()
     job.maybe_run += 1
     with item.measure_attempt(job.request, clock) as attempt:
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -203,6 +203,7 @@
         return Refusal.FAILED
     try:
         await sync_session(group, job, pooled)
+        group.log_sent(item, job)
         pooled.in_transaction = True
         reply = await pooled.conn.ask(
             statement, timeout=context.tuning.command_timeout, after=after
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -120,6 +120,7 @@
         too_late = job.time_left(clock) < MIN_WRITE_TIME
         if too_late or not item.admission.has_time(job):
             raise OutOfTime
+        group.log_sent(item, job)
         asked_at = clock()
         stall_id = group.stall.begin(asked_at)
         try:
--- a/packages/sessions/gypsum_sessions/interfaces.py
+++ b/packages/sessions/gypsum_sessions/interfaces.py
@@ -119,8 +119,11 @@
 class MemberList(Protocol):
     """Reads the list of upstreams from the store."""
 
-    async def read_all(self) -> list[Member]:
-        """Read all listed upstreams; raises LeaseError if that fails."""
+    async def read_all(self) -> tuple[list[Member], int]:
+        """Read all listed upstreams, and the store's revision of that read.
+
+        Raises LeaseError if that fails.
+        """
 
 
 class MemberRecords(Protocol):
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -19,6 +19,7 @@
 from gypsum_sessions.takeover.lease_view import LeaseView
 from gypsum_sessions.upstreams.group import GroupContext
 from gypsum_sessions.upstreams.hosting import HostedGroups
+from gypsum_sessions.upstreams.membership import FEED, TAKEOVER, Membership
 from gypsum_sessions.upstreams.recorder import CHECK_INTERVAL, MemberRecorder
 from gypsum_sessions.upstreams.roster import Roster
 
@@ -93,6 +94,12 @@
             missing_checks=round(tuning.missing_grace / MAINTENANCE_INTERVAL),
         )
         self.recorder = MemberRecorder(records=records, log=log)
+        self.membership = Membership(
+            roster=self.roster,
+            recorder=self.recorder,
+            log=log,
+            refresh=self.refresh_members,
+        )
         self.lease_view = LeaseView(
             clock=clock, takeover_window=tuning.takeover_max_duration
         )
@@ -137,7 +144,6 @@
         self.callers = set()
         self.tasks = set()
         self.last_session_number = 0
-        self.members_known = False
         # Set and replaced when the configuration or the list of daemons is applied.
         self.lists_changed = asyncio.Event()
         # Set once this daemon was told to stop.
@@ -249,35 +255,25 @@
 
     # Members
 
-    def update_members(self, members):
-        """Replace the whole list of upstreams."""
-        self.roster.replace_all(members)
-        self.members_known = True
+    @property
+    def members_known(self):
+        """Whether a complete list of upstreams has been applied."""
+        return self.membership.known
+
+    def update_members(self, members, revision=0, source=FEED):
+        """Replace the whole list of upstreams, which shows the store at a revision."""
+        self.membership.replace_all(members, revision=revision, source=source)
         for name in self.groups:
             self.refresh_members(name)
 
     async def reload_members(self):
         """Read the list of upstreams again; raises LeaseError."""
-        self.update_members(await self.member_list.read_all())
+        members, revision = await self.member_list.read_all()
+        self.update_members(members, revision, source=TAKEOVER)
 
     def update_member(self, member):
         """Add or change one upstream."""
-        kept = self.roster.update(member)
-        if kept is None:
-            self.log(
-                PART, "entry of an earlier incarnation ignored", upstream=member.id
-            )
-            return
-        self.log(
-            PART,
-            "upstream listed",
-            upstream=kept.id,
-            group=kept.group,
-            address=kept.address,
-            leads=kept.leads,
-            leaving=kept.leaving,
-        )
-        self.refresh_members(kept.group)
+        self.membership.update(member, source=FEED)
 
     def add_recorded_members(self, group, members):
         """Add the members that a group had when it was last recorded.
@@ -286,14 +282,11 @@
         just started would find no primary among them and promote a replica, although
         the primary and another replica are about to be listed again.
         """
-        self.recorder.set_recorded(group, members)
-        self.roster.add_recorded(members)
-        self.refresh_members(group)
+        self.membership.add_recorded(group, members)
 
-    def remove_member(self, name):
+    def remove_member(self, name, revision=0):
         """Remove an upstream whose entry was deleted or became unusable."""
-        self.log(PART, "upstream entry removed", upstream=name)
-        self.roster.mark_missing(name)
+        self.membership.remove(name, revision=revision, source=FEED)
         for name in self.groups:
             self.refresh_members(name)
 
@@ -303,9 +296,7 @@
         Otherwise a takeover would wait for a replica that no longer exists until its
         entry expires from the list, seconds later.
         """
-        if self.roster.members.pop(member.id, None) is not None:
-            self.log(PART, "upstream replaced", upstream=member.id, by=detail)
-            self.refresh_members(member.group)
+        self.membership.drop(member, detail)
 
     def refresh_members(self, name):
         """Update a group's members from the roster."""
@@ -415,9 +406,7 @@
         """Periodically end idle transactions and expire missing members and daemons."""
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL)
-            for member in self.roster.expire():
-                self.log(PART, "missing upstream expired", upstream=member.id)
-                self.refresh_members(member.group)
+            self.membership.expire()
             self.expire_daemons()
             await self.end_idle_transactions()
             self.hosting.reconcile()
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -9,6 +9,7 @@
     queue_goal,
 )
 from gypsum_policy.ownership import share_after_start
+from gypsum_policy.revisions import format_revision
 from gypsum_policy.routing import Candidate
 from gypsum_sessions.catalog import Catalog
 from gypsum_sessions.daemons.registry import DaemonRegistry
@@ -23,6 +24,8 @@
 from gypsum_sessions.upstreams.pool import ConnPool
 from gypsum_sessions.upstreams.upstream import Upstream
 
+PART = "group"
+
 
 @dataclass(slots=True, kw_only=True)
 class GroupContext:
@@ -223,6 +226,27 @@
         left_for = self.context.clock() - member.leaving_since
         return left_for < self.context.drain_seconds - self.context.tuning.drain_margin
 
+    def log_sent(self, item, job):
+        """Log that a statement is sent to an upstream that leaves or is missing.
+
+        Without what was known of it, a late statement at an upstream that had reported
+        that it leaves looks the same whether the report was unknown, new or forgotten.
+        """
+        member, now = item.member, self.context.clock()
+        if member.active:
+            return
+        self.context.log(
+            PART,
+            "sent to an upstream that leaves or is missing",
+            request=job.request,
+            group=self.name,
+            upstream=member.id,
+            leaving_ms=elapsed_ms(member.leaving_since, now),
+            missing_ms=elapsed_ms(member.missing_since, now),
+            source=member.source,
+            revision=format_revision(member.changed),
+        )
+
     async def wait_writable(self, timeout):
         """The upstream that leads and accepts work; None if there is none in time."""
         leader = await self.watch.wait_leader(timeout)
@@ -282,3 +306,8 @@
         """Close all connections."""
         for item in self.upstreams.values():
             item.pool.close()
+
+
+def elapsed_ms(since, now):
+    """Milliseconds since a moment; None if there is none."""
+    return None if since is None else round(1000 * (now - since))
--- /dev/null
+++ b/packages/sessions/gypsum_sessions/upstreams/membership.py
@@ -0,0 +1,101 @@
+"""Applies what is learned about upstreams to the roster, and logs what it changes."""
+
+from dataclasses import replace
+
+from gypsum_policy.revisions import format_revision
+
+PART = "proxy"
+# Sources of a list or an entry, as logged.
+FEED = "feed"
+TAKEOVER = "takeover"
+RECORD = "record"
+
+
+class Membership:
+    """Keeps the roster of upstreams; `refresh` updates a group's members from it."""
+
+    def __init__(self, *, roster, recorder, log, refresh):
+        self.roster = roster
+        self.recorder = recorder
+        self.log = log
+        self.refresh = refresh
+        # Whether a complete list has been applied.
+        self.known = False
+
+    def replace_all(self, members, *, revision, source):
+        """Apply a complete list, which shows the store at a revision (0: unknown)."""
+        before = dict(self.roster.members)
+        self.roster.replace_all([replace(item, source=source) for item in members])
+        self.known = True
+        for member in self.roster.members.values():
+            if state_fields(member) != state_fields(before.get(member.id)):
+                self.log_member("upstream listed", member, source, revision)
+
+    def update(self, member, *, source):
+        """Add or change one upstream; returns whether the entry had an effect."""
+        kept = self.roster.update(replace(member, source=source))
+        if kept is None:
+            self.log_member(
+                "entry of an earlier incarnation ignored",
+                member,
+                source,
+                member.changed,
+            )
+            return False
+        self.log_member("upstream listed", kept, source, member.changed)
+        self.refresh(kept.group)
+        return True
+
+    def add_recorded(self, group, members):
+        """Add the members that a group had when it was last recorded."""
+        self.recorder.set_recorded(group, members)
+        before = dict(self.roster.members)
+        self.roster.add_recorded([replace(item, source=RECORD) for item in members])
+        for member in self.roster.members.values():
+            if member.id not in before:
+                self.log_member("upstream listed", member, RECORD, 0)
+        self.refresh(group)
+
+    def remove(self, name, *, revision, source):
+        """Mark an upstream as missing whose entry was deleted or became unusable."""
+        self.log(
+            PART,
+            "upstream entry removed",
+            upstream=name,
+            source=source,
+            revision=format_revision(revision),
+        )
+        self.roster.mark_missing(name)
+
+    def drop(self, member, replacement):
+        """Drop a member at whose address another upstream answers."""
+        if self.roster.members.pop(member.id, None) is not None:
+            self.log(PART, "upstream replaced", upstream=member.id, by=replacement)
+            self.refresh(member.group)
+
+    def expire(self):
+        """Drop the members that have been missing for the grace period."""
+        for member in self.roster.expire():
+            self.log(PART, "missing upstream expired", upstream=member.id)
+            self.refresh(member.group)
+
+    def log_member(self, event, member, source, revision):
+        """Log what an entry says of an upstream, and where it came from."""
+        self.log(
+            PART,
+            event,
+            upstream=member.id,
+            group=member.group,
+            address=member.address,
+            leads=member.leads,
+            source=source,
+            revision=format_revision(revision),
+            **state_fields(member),
+        )
+
+
+def state_fields(member):
+    """The state that decides whether an upstream is sent work; empty without one."""
+    if member is None:
+        return {}
+    return {"leaving": member.leaving, "missing": member.missing_since is not None}
--- a/packages/sessions/gypsum_sessions/upstreams/roster.py
+++ b/packages/sessions/gypsum_sessions/upstreams/roster.py
@@ -14,7 +14,8 @@
     relative to leases. An entry that was lost and is back counts as new: a takeover
     that read the list in between has not seen it. `changed` is the revision of the
     entry's last change. `missing_since` and `leaving_since` are on the daemon's clock,
-    None if the member is not missing or not leaving.
+    None if the member is not missing or not leaving. `source` is where its entry came
+    from, as logged.
 
     `id` names one incarnation: an upstream that restarts has none of its earlier data,
     so state kept by id (connections, pauses, confirmed positions) must not carry over.
@@ -36,6 +37,7 @@
     name: str = ""
     leaving_since: float | None = None
     missing_since: float | None = None
+    source: str = ""
 
     @property
     def stable_name(self):
--- a/tests/platform/test_returned_store.py
+++ b/tests/platform/test_returned_store.py
@@ -207,7 +207,7 @@
     feed = Feed(
         store=ListDouble(make_revision(1, 99)),
         kind=KIND,
-        on_list=taken.append,
+        on_list=lambda objects, revision: taken.append(objects),
         on_change=None,
         log=lambda *args, **fields: None,
         waker=Waker(),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -168,7 +168,7 @@
         """Record the version of an offered configuration."""
         self.versions.append(candidate.version)
 
-    def update_members(self, members):
+    def update_members(self, members, revision=0):
         """Replace all members."""
         self.members = {member.id: member for member in members}
 
@@ -176,7 +176,7 @@
         """Add or replace one member."""
         self.members[member.id] = member
 
-    def remove_member(self, upstream):
+    def remove_member(self, upstream, revision=0):
         """Remove the member of a deleted entry."""
         self.members.pop(upstream, None)
 
@@ -276,7 +276,7 @@
         feed = Feed(
             store=client,
             kind="gypsumhitch",
-            on_list=lambda objects: None,
+            on_list=lambda objects, revision: None,
             on_change=lambda change: None,
             log=ProxyDouble().log,
             waker=Waker(),
@@ -322,7 +322,7 @@
             Feed(
                 store=store,
                 kind=kind,
-                on_list=lambda objects: None,
+                on_list=lambda objects, revision: None,
                 on_change=None,
                 log=proxy.log,
                 waker=waker,
@@ -599,7 +599,9 @@
         feed = Feed(
             store=client,
             kind="k",
-            on_list=lambda objects: lists.append([obj.name for obj in objects]),
+            on_list=lambda objects, revision: lists.append(
+                [obj.name for obj in objects]
+            ),
             on_change=lambda change: changes.append((change.obj.name, change.deleted)),
             log=lambda *args, **fields: None,
             waker=Waker(),
@@ -696,7 +698,7 @@
         feed = Feed(
             store=Store(follower),
             kind="k",
-            on_list=lambda objects: None,
+            on_list=lambda objects, revision: None,
             on_change=lambda change: None,
             log=lambda *args, **fields: None,
             waker=Waker(),
--- a/tests/sessions/feedrig.py
+++ b/tests/sessions/feedrig.py
@@ -184,7 +184,7 @@
     def __init__(self):
         self.specs = {}
 
-    def on_list(self, objects):
+    def on_list(self, objects, revision):
         """Replace the copy by a whole list."""
         self.specs = {obj.name: obj.spec for obj in objects}
 
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -98,9 +98,9 @@
         self.group = group
 
     async def read_all(self):
-        """Read all listed members."""
+        """Read all listed members and the store's revision."""
         await asyncio.sleep(0.004)
-        return self.group.listing()
+        return self.group.listing(), self.group.revision
 
 
 class FakeRecords:
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -155,3 +155,24 @@
     _, out = run(tmp_path, "r3", capsys, text)
     assert "Its usual owner d7 had no room" in out.out
     assert "310 ms" in out.out
+
+
+def test_a_statement_sent_to_a_leaving_upstream_is_shown_with_its_news(
+    tmp_path, capsys
+):
+    """Guards against a late statement whose trace lacks what was known."""
+    sent = line(
+        1,
+        "group",
+        "sent to an upstream that leaves or is missing",
+        request="r3",
+        upstream="u1",
+        leaving_ms=5200,
+        missing_ms=None,
+        source="takeover",
+        revision="17",
+    )
+    done = line(2, "request", "answered", request="r3", group="g", ms=4.0)
+    _, out = run(tmp_path, "r3", capsys, [sent, done])
+    assert "d1 knew u1 to be leaving for 5.2 s" in out.out
+    assert "(entry of revision 17 from takeover)" in out.out
