A list or an entry of an upstream counts only for what it is newer about

Callers: a statement can go to an upstream for as long as it lives after it reported that it leaves, or after its entry was removed.

Cause: a takeover reads the whole list of upstreams. A list that the store had answered before a report, applied after the report had come by the watch, made the upstream ready again: Roster compared no revisions, and no later event corrects an entry that does not change any more.

Change: gypsum_policy.listing decides in one place, by revision with its era: an entry is outdated if a later change of it is known, or if it is not listed although the list is known beyond the revision at which it was last there; a list older than what is known shows no removals; a removal older than the entry known has no effect. The feed, relayed batches and the lists of takeovers pass through it. Records of members carry no revisions and only add what is unknown, as before. An older entry leaves a line.

--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -275,6 +275,10 @@
         """Add or change one upstream."""
         self.membership.update(member, source=FEED)
 
+    def members_caught_up(self, revision):
+        """Record that all entries up to a revision have been applied."""
+        self.roster.caught_up(revision)
+
     def add_recorded_members(self, group, members):
         """Add the members that a group had when it was last recorded.
 
--- a/packages/sessions/gypsum_sessions/upstreams/membership.py
+++ b/packages/sessions/gypsum_sessions/upstreams/membership.py
@@ -25,26 +25,25 @@
     def replace_all(self, members, *, revision, source):
         """Apply a complete list, which shows the store at a revision (0: unknown)."""
         before = dict(self.roster.members)
-        self.roster.replace_all([replace(item, source=source) for item in members])
+        outdated = self.roster.replace_all(
+            [replace(item, source=source) for item in members], revision
+        )
         self.known = True
+        for member, reason in outdated:
+            self.log_outdated(member, reason)
         for member in self.roster.members.values():
             if state_fields(member) != state_fields(before.get(member.id)):
                 self.log_member("upstream listed", member, source, revision)
 
     def update(self, member, *, source):
-        """Add or change one upstream; returns whether the entry had an effect."""
-        kept = self.roster.update(replace(member, source=source))
-        if kept is None:
-            self.log_member(
-                "entry of an earlier incarnation ignored",
-                member,
-                source,
-                member.changed,
-            )
-            return False
+        """Add or change one upstream."""
+        member = replace(member, source=source)
+        if reason := self.roster.outdated(member):
+            self.log_outdated(member, reason)
+            return
+        kept = self.roster.update(member)
         self.log_member("upstream listed", kept, source, member.changed)
         self.refresh(kept.group)
-        return True
 
     def add_recorded(self, group, members):
         """Add the members that a group had when it was last recorded."""
@@ -65,7 +64,7 @@
             source=source,
             revision=format_revision(revision),
         )
-        self.roster.mark_missing(name)
+        self.roster.mark_missing(name, revision)
 
     def drop(self, member, replacement):
         """Drop a member at whose address another upstream answers."""
@@ -79,7 +78,18 @@
             self.log(PART, "missing upstream expired", upstream=member.id)
             self.refresh(member.group)
 
-    def log_member(self, event, member, source, revision):
+    def log_outdated(self, member, reason):
+        """Log an entry that has no effect, as a later state is known."""
+        self.log_member(
+            "older entry ignored",
+            member,
+            member.source,
+            member.changed,
+            reason=reason,
+            listed_up_to=format_revision(self.roster.listed_up_to),
+        )
+
+    def log_member(self, event, member, source, revision, **fields):
         """Log what an entry says of an upstream, and where it came from."""
         self.log(
             PART,
@@ -91,6 +101,7 @@
             source=source,
             revision=format_revision(revision),
             **state_fields(member),
+            **fields,
         )
 
 
--- a/packages/sessions/gypsum_sessions/upstreams/roster.py
+++ b/packages/sessions/gypsum_sessions/upstreams/roster.py
@@ -3,6 +3,12 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
+from gypsum_policy.listing import (
+    UNKNOWN,
+    is_outdated,
+    is_outdated_list,
+    is_outdated_removal,
+)
 from gypsum_policy.revisions import same_era
 
 
@@ -66,12 +72,16 @@
 
 
 class Roster:
-    """All known upstreams."""
+    """All known upstreams.
+
+    `listed_up_to` is the store's revision up to which all entries have been applied.
+    """
 
     def __init__(self, *, clock, missing_checks):
         self.clock = clock
         self.missing_checks = missing_checks
         self.members = {}
+        self.listed_up_to = UNKNOWN
         # The id of the newest incarnation under each name.
         self.newest = {}
         self.missed_checks = Counter()
@@ -81,15 +91,15 @@
         self.members[member.id] = member
         self.newest[member.stable_name] = member.id
 
-    def update(self, member):
-        """Apply an entry of the list; returns the member as it is stored.
+    def update(self, member, listed_at=None):
+        """Apply an entry; returns the member as it is stored, None if it is outdated.
 
-        None if a newer incarnation has already replaced the entry's.
+        `listed_at` is the revision of the list that has it, None for a single change.
         """
+        if self.outdated(member, listed_at):
+            return None
         other = self.other_incarnation(member)
         if other is not None:
-            if other.born > member.born:
-                return None
             del self.members[other.id]
             member = with_restart_revision(member)
         known = self.members.get(member.id)
@@ -109,6 +119,26 @@
         self.store(kept)
         return kept
 
+    def outdated(self, member, listed_at=None):
+        """Why an entry is older than what is known; empty if it is not."""
+        other = self.other_incarnation(member)
+        if other is not None and other.born > member.born:
+            return "of an earlier incarnation"
+        known = self.members.get(self.newest.get(member.stable_name, ""))
+        listed = known is not None and known.missing_since is None
+        if is_outdated(
+            member.changed,
+            shown_at=member.changed if listed_at is None else listed_at,
+            known=known.changed if listed else None,
+            listed_up_to=self.listed_up_to,
+        ):
+            return "changed since" if listed else "removed since"
+        return ""
+
+    def caught_up(self, revision):
+        """Record that all entries up to a revision have been applied."""
+        self.listed_up_to = max(self.listed_up_to, revision)
+
     def add_recorded(self, members):
         """Add members on record that are not listed, as missing."""
         for member in members:
@@ -129,19 +159,34 @@
         known = self.members.get(self.newest.get(member.stable_name, ""))
         return known if known is not None and known.id != member.id else None
 
-    def mark_missing(self, name):
-        """Mark a member whose entry vanished: it left, or the store lost its lease."""
+    def mark_missing(self, name, revision=UNKNOWN):
+        """Mark a member whose entry vanished: it left, or the store lost its lease.
+
+        Not if the entry is known to have changed after the given revision.
+        """
         known = self.members.get(self.newest.get(name, ""))
-        if known is not None and known.missing_since is None:
+        if known is None or known.missing_since is not None:
+            return
+        if not is_outdated_removal(revision, known=known.changed):
             self.store(replace(known, missing_since=self.clock()))
 
-    def replace_all(self, members):
-        """Apply a complete list; members not in it are missing."""
+    def replace_all(self, members, revision=UNKNOWN):
+        """Apply a list that is complete at a revision; members not in it are missing.
+
+        Returns the outdated entries, which have no effect.
+        """
         listed = {member.stable_name for member in members}
+        known = {member.stable_name for member in self.members.values()}
+        is_older = is_outdated_list(revision, listed_up_to=self.listed_up_to)
+        outdated = []
         for member in members:
-            self.update(member)
-        for name in {member.stable_name for member in self.members.values()} - listed:
-            self.mark_missing(name)
+            if reason := self.outdated(member, revision):
+                outdated.append((member, reason))
+            self.update(member, revision)
+        for name in () if is_older else known - listed:
+            self.mark_missing(name, revision)
+        self.caught_up(revision)
+        return outdated
 
     def expire(self):
         """Drop members that were missing in enough checks; returns them.
--- a/tests/sessions/test_leaving_upstreams.py
+++ b/tests/sessions/test_leaving_upstreams.py
@@ -72,6 +72,7 @@
             kind=UPSTREAM_KIND,
             on_list=handler.on_list,
             on_change=handler.on_change,
+            on_caught_up=proxy.members_caught_up,
             log=proxy.log,
             waker=Waker(),
             batch_interval=UPSTREAM_BATCH_INTERVAL,
