The time of a leaving upstream counts from its report, not from when we hear of it

Callers: statements reached upstreams up to 9.8 s after these had reported that they leave (bound 7), and could have been lost with them.

Cause: Member.leaving_since is the daemon's clock at the first news, and accepts_work counted from there. A daemon that had been restarted, frozen or cut off from the store gave the upstream its six seconds once more.

Change: the feed tells the roster a time at which the store is known to have had no later changes: when a list was asked for, and for a watch that ended without changes the wait that it had asked for as well. A report counts from that time (gypsum_policy.leaving). Followers get it by the age in their watcher's heartbeats; a watcher of the older version sends none and counts as five seconds. A daemon that has just started knows no such time: it sends work for three seconds after its start, in which a leaving primary is handed over. The handover itself still counts from the news.

Weighed: the news as old as its last confirmed look (taken); no new work while another upstream can serve (the order of reads does that already, and it broke the bound); daemons that tell each other how old their news is (only watchers to followers, where it rides on heartbeats: the others would need a message for each report).

Rigs of the tests have a roster whose list is confirmed at any time, as their lists are applied when they change; one double of a follower has the new question.

--- a/packages/policy/gypsum_policy/relays.py
+++ b/packages/policy/gypsum_policy/relays.py
@@ -16,6 +16,9 @@
 ALL_WATCH_UP_TO = 12
 # Seconds between a watcher's heartbeats, which say that it is in touch with the store.
 HEARTBEAT_INTERVAL = 0.4
+# Seconds for which a watcher of an earlier version, which does not report it, may have
+# had no confirmation of the store: the longest watch and the time to detect its loss.
+UNREPORTED_AGE = 5.0
 # A watcher that has sent nothing for this many seconds is replaced: it has missed three
 # heartbeats.
 WATCHER_TIMEOUT = 1.3
--- a/packages/sessions/gypsum_sessions/daemons/feedfollower.py
+++ b/packages/sessions/gypsum_sessions/daemons/feedfollower.py
@@ -42,7 +42,8 @@
     what the watcher reports, None if the watcher has not confirmed the feed with the
     store. `pending` updates are not applied yet. `pieces` of a whole list belong to
     `pieces_revision`; the list was requested at `requested_at`. `behind_since` is None
-    while this daemon is not behind.
+    while this daemon is not behind. `confirmed_at` is a time at which the store had no
+    changes beyond those applied here, None if none is known.
     """
 
     known: int = 0
@@ -56,6 +57,7 @@
     behind_logged: bool = False
     ahead_since: float | None = None
     ahead_logged: bool = False
+    confirmed_at: float | None = None
 
     @property
     def confirmed_state(self):
@@ -142,6 +144,13 @@
         """Seconds since a watcher confirmed what is known here; None without one."""
         return self.clock() - self.heard_at if self.is_up_to_date(name) else None
 
+    def confirmed_at(self, name):
+        """A time at which the store had no changes beyond those applied here, or None.
+
+        On this daemon's clock, by the watchers' heartbeats.
+        """
+        return self.feed(name).confirmed_at
+
     def behind(self, name):
         """Return whether the watcher has changes of a feed that this daemon lacks."""
         return self.feed(name).behind
@@ -247,6 +256,9 @@
         self.is_watcher = message.watches
         for name, feed in self.feeds.items():
             feed.state = message.feeds.get(name)
+            state = feed.confirmed_state
+            if state is not None and not feed.behind:
+                feed.confirmed_at = self.clock() - state.age
             if feed.store_unreachable:
                 self.request_list(name)
         self.notify_waiters()
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -12,6 +12,7 @@
 from gypsum_core.position import Position
 from gypsum_policy.credentials import ANONYMOUS, Credential
 from gypsum_policy.ratelimit import Cap
+from gypsum_policy.relays import UNREPORTED_AGE
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.replies import Reply
 from gypsum_sessions.statements import Statement
@@ -207,10 +208,14 @@
 
 
 class FeedState(Struct, frozen=True, kw_only=True, array_like=True):
-    """A feed is known up to `revision`; its last change was at `since`."""
+    """A feed is known up to `revision`; its last change was at `since`.
+
+    `age` is how many seconds ago the store is known to have had no later changes.
+    """
 
     since: int
     revision: int
+    age: float = UNREPORTED_AGE
 
 
 class Heartbeat(Struct, frozen=True, kw_only=True, array_like=True, tag="current"):
--- a/packages/sessions/gypsum_sessions/daemons/relay.py
+++ b/packages/sessions/gypsum_sessions/daemons/relay.py
@@ -28,13 +28,15 @@
     """A watcher's copy of a feed: objects by name, and revisions.
 
     It is known up to `revision`, and has not changed since `since`. `answered_at` is
-    when the store last answered. `pieces` is the packed list, built on first request.
+    when the store last answered, and `confirmed_at` a time at which it is known to have
+    had no later changes. `pieces` is the packed list, built on first request.
     """
 
     objects: dict = field(default_factory=dict)
     revision: int = 0
     since: int = 0
     answered_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
     pieces: list[ListPiece] = field(default_factory=list)
 
 
@@ -83,6 +85,11 @@
         if name in self.feeds:
             self.feeds[name].answered_at = self.clock()
 
+    def record_confirmation(self, name, at):
+        """Record a time at which the store had no changes beyond a feed's revision."""
+        if name in self.feeds:
+            self.feeds[name].confirmed_at = max(self.feeds[name].confirmed_at, at)
+
     def store_unreachable(self, name):
         """Mark a feed as unconfirmed until the store answers for it again."""
         if name in self.feeds:
@@ -176,7 +183,11 @@
         """The confirmed feeds, and up to which revision they are known."""
         return Heartbeat(
             feeds={
-                name: FeedState(since=feed.since, revision=feed.revision)
+                name: FeedState(
+                    since=feed.since,
+                    revision=feed.revision,
+                    age=self.clock() - feed.confirmed_at,
+                )
                 for name, feed in self.feeds.items()
                 if self.is_confirmed(name, feed)
             },
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -261,15 +261,20 @@
         return self.membership.known
 
     def update_members(self, members, revision=0, source=FEED):
-        """Replace the whole list of upstreams, which shows the store at a revision."""
+        """Replace the whole list of upstreams, which shows the store at a revision.
+
+        What is new in it counts as reported after `roster.confirmed_at`.
+        """
         self.membership.replace_all(members, revision=revision, source=source)
         for name in self.groups:
             self.refresh_members(name)
 
     async def reload_members(self):
         """Read the list of upstreams again; raises LeaseError."""
+        asked_at = self.clock()
         members, revision = await self.member_list.read_all()
         self.update_members(members, revision, source=TAKEOVER)
+        self.roster.confirm(asked_at)
 
     def update_member(self, member):
         """Add or change one upstream."""
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -8,6 +8,7 @@
     least_limit,
     queue_goal,
 )
+from gypsum_policy.leaving import work_ends_at
 from gypsum_policy.ownership import share_after_start
 from gypsum_policy.revisions import format_revision
 from gypsum_policy.routing import Candidate
@@ -223,8 +224,13 @@
         """
         if member.leaving_since is None:
             return True
-        left_for = self.context.clock() - member.leaving_since
-        return left_for < self.context.drain_seconds - self.context.tuning.drain_margin
+        context = self.context
+        return context.clock() < work_ends_at(
+            not_reported_at=member.not_reported_at,
+            started_at=context.started_at,
+            drain_seconds=context.drain_seconds,
+            margin=context.tuning.drain_margin,
+        )
 
     def log_sent(self, item, job):
         """Log that a statement is sent to an upstream that leaves or is missing.
@@ -242,6 +248,7 @@
             group=self.name,
             upstream=member.id,
             leaving_ms=elapsed_ms(member.leaving_since, now),
+            not_reported_ms=elapsed_ms(member.not_reported_at, now),
             missing_ms=elapsed_ms(member.missing_since, now),
             source=member.source,
             revision=format_revision(member.changed),
--- a/packages/sessions/gypsum_sessions/upstreams/roster.py
+++ b/packages/sessions/gypsum_sessions/upstreams/roster.py
@@ -20,8 +20,9 @@
     relative to leases. An entry that was lost and is back counts as new: a takeover
     that read the list in between has not seen it. `changed` is the revision of the
     entry's last change. `missing_since` and `leaving_since` are on the daemon's clock,
-    None if the member is not missing or not leaving. `source` is where its entry came
-    from, as logged.
+    None if the member is not missing or not leaving. `not_reported_at` is the last time
+    at which the store is known not to have had its report that it leaves, None if there
+    is none. `source` is where its entry came from, as logged.
 
     `id` names one incarnation: an upstream that restarts has none of its earlier data,
     so state kept by id (connections, pauses, confirmed positions) must not carry over.
@@ -42,6 +43,7 @@
     born: int = 0
     name: str = ""
     leaving_since: float | None = None
+    not_reported_at: float | None = None
     missing_since: float | None = None
     source: str = ""
 
@@ -75,6 +77,8 @@
     """All known upstreams.
 
     `listed_up_to` is the store's revision up to which all entries have been applied.
+    `confirmed_at` is the last time at which the store is known to have had no later
+    changes, on the daemon's clock; None before the first list.
     """
 
     def __init__(self, *, clock, missing_checks):
@@ -82,6 +86,7 @@
         self.missing_checks = missing_checks
         self.members = {}
         self.listed_up_to = UNKNOWN
+        self.confirmed_at = None
         # The id of the newest incarnation under each name.
         self.newest = {}
         self.missed_checks = Counter()
@@ -109,16 +114,20 @@
         if known is not None and known.leaving and store_was_restored(known, member):
             # The backup may be older than its report that it drains.
             member = replace(member, leaving=True)
-        since = known.leaving_since if known else None
-        if member.leaving and since is None:
-            since = self.clock()
-        kept = replace(
-            member,
-            leaving_since=since if member.leaving else None,
-        )
+        kept = self.with_report_times(member, known)
         self.store(kept)
         return kept
 
+    def with_report_times(self, member, known):
+        """A member with the times of its report that it leaves, if it has made one."""
+        if not member.leaving:
+            return replace(member, leaving_since=None, not_reported_at=None)
+        if known is not None and known.leaving_since is not None:
+            since, not_reported_at = known.leaving_since, known.not_reported_at
+        else:
+            since, not_reported_at = self.clock(), self.confirmed_at
+        return replace(member, leaving_since=since, not_reported_at=not_reported_at)
+
     def outdated(self, member, listed_at=None):
         """Why an entry is older than what is known; empty if it is not."""
         other = self.other_incarnation(member)
@@ -139,6 +148,11 @@
         """Record that all entries up to a revision have been applied."""
         self.listed_up_to = max(self.listed_up_to, revision)
 
+    def confirm(self, at):
+        """Record a time at which the store had no changes but those applied."""
+        known = self.confirmed_at
+        self.confirmed_at = at if known is None else max(known, at)
+
     def add_recorded(self, members):
         """Add members on record that are not listed, as missing."""
         for member in members:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -549,6 +549,9 @@
         """Tell whether this daemon depends on a watcher: always."""
         return True
 
+    def confirmed_at(self, kind):
+        """No time is known."""
+
     def has_updates(self, kind):
         """Tell whether updates are pending."""
         return bool(self.waiting)
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -17,6 +17,7 @@
 from gypsum_sessions.interfaces import LeaseError, PromoteOutcome, PromotionLease
 from gypsum_sessions.proxy import Proxy
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
+from gypsum_sessions.upstreams.roster import Roster
 from tests.sessions.fakegroup import PROMOTE_TIME, FakeDialer, FakeGroup
 from tests.sessions.fakelinks import FakeLinks
 
@@ -157,6 +158,19 @@
         loop.call_later(PROMOTE_TIME, self.group.promote, upstream)
 
 
+class PromptRoster(Roster):
+    """A roster whose list is confirmed at any time."""
+
+    @property
+    def confirmed_at(self):
+        """Now."""
+        return self.clock()
+
+    @confirmed_at.setter
+    def confirmed_at(self, at):
+        """Nothing is confirmed later than now."""
+
+
 class Rig:
     """One group, the daemons that serve it, and the fakes that they share."""
 
@@ -209,6 +223,7 @@
             all_watch_up_to=self.all_watch_up_to,
         )
         self.links.proxies[name] = proxy
+        proxy.roster = proxy.membership.roster = self.make_roster(proxy.roster)
         # As if the daemon had been running for a long time.
         proxy.daemons.rejoined = True
         proxy.update_daemons(
@@ -221,6 +236,10 @@
         proxy.recorder.set_recorded("db", self.group.listing())
         return proxy
 
+    def make_roster(self, roster):
+        """The roster of a daemon that learns of each change when it is made."""
+        return PromptRoster(clock=roster.clock, missing_checks=roster.missing_checks)
+
     def configured(self, version, keys, caps=None, **changes):
         """Return a configuration with the rig's connection limit.
 
--- a/tests/sessions/test_leaving_upstreams.py
+++ b/tests/sessions/test_leaving_upstreams.py
@@ -48,6 +48,10 @@
         for proxy in self.proxies:
             self.start(proxy)
 
+    def make_roster(self, roster):
+        """The daemon's own roster, which the feed confirms."""
+        return roster
+
     def report(self, name, state="ready"):
         """An upstream writes its entry."""
         spec = {
@@ -73,6 +77,8 @@
             on_list=handler.on_list,
             on_change=handler.on_change,
             on_caught_up=proxy.members_caught_up,
+            on_confirmed=proxy.roster.confirm,
+            clock=proxy.clock,
             log=proxy.log,
             waker=Waker(),
             batch_interval=UPSTREAM_BATCH_INTERVAL,
