Whether an upstream still takes work is asked again just before sending

Cause: accepts_work was asked when an upstream was chosen. Up to the statement's whole timeout (2 to 12 s on the users' routes) may pass until it is sent, in the queue and in the wait for a connection; the margin is one second. The first statement of a transaction was also sent again and again while the upstream's queue was full.

Each wait between choice and sending: the queue (reads and BEGINs leave it within 50 ms once the upstream takes no more work, as writes already did when it lost the lead); a connection, its check and the session's values (asked again after them, before the statement goes out); a remote owner (chooses by itself); a pause for a takeover and the next round (choose anew); a full queue at a transaction's first statement (asked before each try). What is not sent is tried elsewhere or refused as not run; a transaction whose first statement is not sent is rolled back.

--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 
 from gypsum_policy.admission import QueueTimeout
 from gypsum_policy.rounds import (
@@ -11,7 +12,7 @@
     retry_wait,
 )
 from gypsum_sessions.catalog import ReadRule
-from gypsum_sessions.execution.admission import JobAbandoned
+from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
 from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.execution.refusals import (
     abandoned_reply,
@@ -236,7 +237,7 @@
         return set()
     job.tried.append(upstream)
     try:
-        place = item.admission.enqueue(job)
+        place = item.admission.enqueue(job, usable=partial(group.may_send, item))
     except QueueTimeout as exc:
         return {asyncio.create_task(rejected_attempt(group, job, item, exc))}
     task = asyncio.create_task(attempt_read(group, job, item, place))
@@ -281,6 +282,8 @@
         return await rejected_attempt(group, job, item, exc)
     except JobAbandoned:
         return Attempt(upstream=item.id, reply=None, detail="the caller has left")
+    except UpstreamUnusable:
+        return Attempt(upstream=item.id, reply=None, detail="it takes no more work")
 
 
 async def send_attempt(group, job, item):
@@ -323,7 +326,8 @@
 async def ask_read(group, job, item, pooled):
     """Run the read on a connection and update the upstream's statistics.
 
-    None if the read is no longer needed.
+    None if the read is no longer needed. Raises UpstreamUnusable if the upstream takes
+    no more work.
     """
     context, clock = group.context, group.context.clock
     await sync_session_state(
@@ -339,6 +343,8 @@
         return None
     if not item.admission.has_time(job):
         return None
+    if not group.may_send(item):
+        raise UpstreamUnusable
     group.log_sent(item, job)
     started = clock()
     job.maybe_run += 1
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import nullcontext
 from dataclasses import dataclass
+from functools import partial
 
 from gypsum_policy.admission import QueueTimeout
 from gypsum_policy.rounds import Obstacle, pause_before_round, retry_wait
@@ -29,8 +30,8 @@
     NotSent,
     acquire_verified,
     cannot_confirm_reply,
-    leads,
     sync_session,
+    takes_writes,
     unconfirmed_reply,
 )
 from gypsum_sessions.replies import (
@@ -173,9 +174,12 @@
     """
     job.tried.append(item.id)
     kind = (job.route.name, "begin")
-    usable = leads(group, item) if statement.writes else None
+    still_usable = (
+        takes_writes(group, item) if statement.writes else partial(group.may_send, item)
+    )
     try:
-        async with item.admission.enqueue(job, kind=kind, usable=usable) as place:
+        queued = item.admission.enqueue(job, kind=kind, usable=still_usable)
+        async with queued as place:
             if not group.context.catalog.is_valid(job.credential):
                 raise KeyWithdrawn
             refusal = await send_begin(group, tx, job, item, statement, after)
@@ -193,6 +197,7 @@
     """Open the transaction at one upstream.
 
     Returns None once it is open, else the refusal, FAILED if there was no answer.
+    Raises UpstreamUnusable if the upstream takes no more work.
     """
     context, clock = group.context, group.context.clock
     try:
@@ -203,6 +208,9 @@
         return Refusal.FAILED
     try:
         await sync_session(group, job, pooled)
+        if not group.may_send(item):
+            item.pool.release(pooled)
+            raise UpstreamUnusable
         group.log_sent(item, job)
         pooled.in_transaction = True
         reply = await pooled.conn.ask(
@@ -227,7 +235,8 @@
 
 async def run_in_transaction(group, tx, job):
     """Run a statement; if it does not succeed, the transaction is rolled back."""
-    if tx.pooled is None:
+    first = tx.pooled is None
+    if first:
         refused = await open_at_upstream(group, tx, job)
         if refused is not None:
             return refused
@@ -239,7 +248,10 @@
     try:
         await sync_session(group, job, tx.pooled)
         async with count_statement(group, tx):
-            reply = await send_until_accepted(group, tx, job)
+            reply = await send_until_accepted(group, tx, job, first=first)
+    except UpstreamUnusable:
+        await close(group, tx)
+        return aborted_reply("its upstream leaves")
     except UpstreamError as exc:
         group.watch.recheck(tx.upstream)
         await abandon(group, tx)
@@ -262,10 +274,17 @@
     return item.admission.unqueued() if item is not None else nullcontext()
 
 
-async def send_until_accepted(group, tx, job):
-    """Send a statement, and resend it while the upstream's queue is full."""
+async def send_until_accepted(group, tx, job, *, first=False):
+    """Send a statement, and resend it while the upstream's queue is full.
+
+    Raises UpstreamUnusable if it is the transaction's `first` one and the upstream
+    takes no more work.
+    """
     clock = group.context.clock
     while True:
+        item = group.upstreams.get(tx.upstream)
+        if first and (item is None or not group.may_send(item)):
+            raise UpstreamUnusable
         started = clock()
         reply = await ask_upstream(tx.pooled.conn, job, timeout=job.time_left(clock))
         if reply.ok:
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -53,7 +53,7 @@
             return cannot_confirm_reply(context.tuning)
         job.tried.append(item.id)
         try:
-            queued = item.admission.enqueue(job, usable=leads(group, item))
+            queued = item.admission.enqueue(job, usable=takes_writes(group, item))
             async with queued as place:
                 if not context.catalog.is_valid(job.credential):
                     return key_withdrawn_reply()
@@ -93,16 +93,19 @@
     )
 
 
-def leads(group, item):
-    """Return a check of whether an upstream is still the group's primary.
+def takes_writes(group, item):
+    """Return a check of whether an upstream still is the primary and accepts work.
 
-    Statements that wait for a lost primary look for the next one instead.
+    Statements that wait for one that does not look for the next primary instead.
     """
-    return lambda: group.watch.leader == item.id
+    return lambda: group.watch.leader == item.id and group.may_send(item)
 
 
 async def try_write(group, job, item):
-    """One attempt; raises NotSent, OutOfTime or JobAbandoned if it was not sent.
+    """One attempt; raises an exception if it was not sent.
+
+    That is NotSent, OutOfTime, JobAbandoned, or UpstreamUnusable if the upstream takes
+    no more work.
 
     A write that is sent with no time left is in doubt at once, although nobody waits
     for it any more.
@@ -120,6 +123,8 @@
         too_late = job.time_left(clock) < MIN_WRITE_TIME
         if too_late or not item.admission.has_time(job):
             raise OutOfTime
+        if not group.may_send(item):
+            raise UpstreamUnusable
         group.log_sent(item, job)
         asked_at = clock()
         stall_id = group.stall.begin(asked_at)
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -232,6 +232,13 @@
             margin=context.tuning.drain_margin,
         )
 
+    def may_send(self, item):
+        """Return whether an upstream still accepts work, asked just before sending.
+
+        A statement may have waited for seconds since the upstream was chosen.
+        """
+        return self.upstreams.get(item.id) is item and self.accepts_work(item.member)
+
     def log_sent(self, item, job):
         """Log that a statement is sent to an upstream that leaves or is missing.
 
--- a/tests/sessions/test_leaving_upstreams.py
+++ b/tests/sessions/test_leaving_upstreams.py
@@ -4,110 +4,11 @@
 
 import pytest
 
-from gypsum_platform.feeds import Feed, Waker
-from gypsum_platform.object_handlers import (
-    UPSTREAM_BATCH_INTERVAL,
-    UPSTREAM_KIND,
-    UpstreamHandler,
-)
+from gypsum_platform.object_handlers import UPSTREAM_KIND
 from tests.sessions.fakegroup import FakeConn
-from tests.sessions.feedrig import VirtualClient, VirtualStore
-from tests.sessions.rig import Rig
+from tests.sessions.listedrig import DRAIN, IN_TOUCH_AFTER, ListedRig
 from tests.sessions.vclock import run
 
-# Seconds after the store has accepted its report, as in the rig's settings.
-DRAIN = 7.0
-# What users promise of a daemon holds once it has been up, or has reached the store
-# again, for this many seconds.
-IN_TOUCH_AFTER = 4.0
-
-
-class HeldClient(VirtualClient):
-    """A client whose lists, while `held`, are answered late with what was true then."""
-
-    held = False
-
-    async def list_objects(self, kind):
-        """A list, delivered once it is no longer held."""
-        found = await super().list_objects(kind)
-        while self.held:
-            await asyncio.sleep(0.01)
-        return found
-
-
-class ListedRig(Rig):
-    """Daemons that learn of the upstreams by feeds of a store."""
-
-    def __init__(self, **options):
-        super().__init__(**options)
-        self.store = VirtualStore()
-        self.store.era = 0
-        self.clients = {}
-        for name in ("u1", "u2", "u3"):
-            self.report(name)
-        for proxy in self.proxies:
-            self.start(proxy)
-
-    def make_roster(self, roster):
-        """The daemon's own roster, which the feed confirms."""
-        return roster
-
-    def report(self, name, state="ready"):
-        """An upstream writes its entry."""
-        spec = {
-            "service": "db",
-            "address": f"10.0.0.{name[1:]}:1",
-            "zone": "a",
-            "capacity": 5,
-            "dbRole": "primary" if self.group[name].leads else "replica",
-            "state": state,
-        }
-        self.store.put(UPSTREAM_KIND, name, spec)
-
-    def start(self, proxy):
-        """Run a daemon's feed of upstreams."""
-        client = HeldClient(store=self.store, daemon=proxy.name)
-        self.clients[proxy.name] = client
-        handler = UpstreamHandler(store=client, log=proxy.log)
-        handler.proxy = proxy
-        proxy.member_list = handler
-        feed = Feed(
-            store=client,
-            kind=UPSTREAM_KIND,
-            on_list=handler.on_list,
-            on_change=handler.on_change,
-            on_caught_up=proxy.members_caught_up,
-            on_confirmed=proxy.roster.confirm,
-            clock=proxy.clock,
-            log=proxy.log,
-            waker=Waker(),
-            batch_interval=UPSTREAM_BATCH_INTERVAL,
-        )
-        proxy.keep_running(feed.run)
-        proxy.keep_running(proxy.run_maintenance)
-
-    def restart(self, name):
-        """Start a daemon that knows nothing of the upstreams yet."""
-        names = [proxy.name for proxy in self.proxies]
-        proxy = self.make_proxy(name, names, self.proxy.tuning, self.version)
-        proxy.roster.members.clear()
-        proxy.roster.newest.clear()
-        self.start(proxy)
-        return proxy
-
-    def offers(self, proxy, name):
-        """Whether a daemon would send new work to an upstream now."""
-        return name in {item.id for item in proxy.groups["db"].candidates()}
-
-    async def last_offer(self, proxy, name, until):
-        """When a daemon last offered work to an upstream, looking until a time."""
-        last = 0.0
-        while self.loop.time() < until:
-            if self.offers(proxy, name):
-                last = self.loop.time()
-            await asyncio.sleep(0.05)
-        return last
-
 
 def test_a_daemon_cut_off_from_the_store_counts_from_the_report():
     """Guards against a leaving upstream that gets its whole time again on late news."""
