Soak: upstreams that leave while daemons restart and learn of it late

`--leaving` draws upstreams that are replaced, up to eight in a run, beside kills, rolls, pauses, a store that some daemons do not reach, that is slow or has forgotten its history, and members that are dark or lag. The check of late work is stricter: it allowed eight seconds after the last fault whenever the report had come before; now it allows them after the report, or five seconds after the last fault.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,6 +48,9 @@
     slow: Annotated[
         bool, cappa.Arg(long=True, help="Also slow upstreams and many link resets.")
     ] = False
+    leaving: Annotated[
+        bool, cappa.Arg(long=True, help="Upstreams leave; daemons learn of it late.")
+    ] = False
     keep: Annotated[
         Path | None,
         cappa.Arg(long=True, help="Folder for logs; a temporary one by default."),
@@ -74,6 +77,7 @@
                 planned=options.planned,
                 returns=options.returns,
                 slow=options.slow,
+                leaving=options.leaving,
             )
         )
         print(started_at, *outcome.lines(), sep="\n", flush=True)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -118,7 +118,8 @@
         since = self.leaving_since.get(member)
         if since is None or line["in_transaction"]:
             return
-        if line["at"] > max(since, self.fault_free_since) + DRAIN_TIMEOUT:
+        limit = max(since + DRAIN_TIMEOUT, self.fault_free_since + FAULT_FREE_PERIOD)
+        if line["at"] > limit:
             self.broken.append(f"DRAIN {request}: {member} leaves since {since:.2f}")
 
     def check_answer(self, request, text, rows, end, proof):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,9 @@
 # Seconds after a fault for which a daemon may still not get updates from the store.
 RECOVERY_TIME = 5.0
 BULK_ROUTES = 1500
+# How many upstreams are replaced in a run, and in one of leaving upstreams.
+MAX_JOINS = 2
+MAX_JOINS_WHEN_LEAVING = 8
 NETWORK_DELAY = 0.08
 APPLY_LAG = 1.0
 # Seconds that a statement takes at a slow upstream; the soak's routes wait for three.
@@ -23,7 +26,7 @@
     The methods that a schedule names get the duration in seconds.
     """
 
-    def __init__(self, *, fleet, standins, checker, rng, configs):
+    def __init__(self, *, fleet, standins, checker, rng, configs, max_joins=MAX_JOINS):
         self.fleet = fleet
         self.standins = standins
         self.checker = checker
@@ -31,6 +34,7 @@
         self.configs = configs
         self.active = 0
         self.join_count = 0
+        self.max_joins = max_joins
 
     async def run_step(self, step):
         """Run one fault from its start to its end."""
@@ -239,8 +243,8 @@
         await self.standins.run_command("member", name=name, what="cut", value=False)
 
     async def member_leaves(self, duration):
-        """Add a member, then let an old one leave; at most twice in a run."""
-        if self.join_count >= 2:
+        """Add a member, then let an old one leave; at most `max_joins` times."""
+        if self.join_count >= self.max_joins:
             return
         self.join_count += 1
         new = await self.standins.run_command("join")
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,10 +10,11 @@
 from soak.callers import Caller
 from soak.checker import AnswerStats, StatementChecker
 from soak.configchanges import ConfigChanges
-from soak.faults import FaultInjector
+from soak.faults import MAX_JOINS, MAX_JOINS_WHEN_LEAVING, FaultInjector
 from soak.fleet import Fleet, StandInProcess, connect
 from soak.schedule import (
     FAULT_WEIGHTS,
+    LEAVING_WEIGHTS,
     PLANNED_WEIGHTS,
     SLOW_WEIGHTS,
     STORE_RETURN_WEIGHTS,
@@ -55,8 +56,10 @@
         yield f"findings: {len(self.broken) + len(self.exits)}"
 
 
-def weights_for(*, planned, returns, slow):
+def weights_for(*, planned, returns, slow, leaving):
     """Return the faults to draw from, with their weights."""
+    if leaving:
+        return LEAVING_WEIGHTS
     if planned:
         return PLANNED_WEIGHTS
     if slow:
@@ -74,17 +77,19 @@
     planned=False,
     returns=False,
     slow=False,
+    leaving=False,
 ):
     """Run one seed and return its outcome. Logs and settings stay in the folder.
 
     `connections` is the connection limit of an upstream: if it is low, some daemons own
     the group and the others send them their statements. `planned` draws only planned
     work, `returns` also restores the store from older copies, `slow` also makes
-    upstreams slower than statements wait.
+    upstreams slower than statements wait. `leaving` draws upstreams that leave, and
+    what makes daemons learn of it late.
     """
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    weights = weights_for(planned=planned, returns=returns, slow=slow)
+    weights = weights_for(planned=planned, returns=returns, slow=slow, leaving=leaving)
     steps = draw_schedule(seed, seconds, weights)
     checker, stats = StatementChecker(), AnswerStats()
     (folder / "schedule.txt").write_text("\n".join(map(str, steps)) + "\n")
@@ -100,7 +105,15 @@
         configs = ConfigChanges(
             fleet=fleet, standins=standins, checker=checker, rng=rng
         )
-        await run_load(seed, steps, seconds, fleet, standins, checker, stats, configs)
+        injector = FaultInjector(
+            fleet=fleet,
+            standins=standins,
+            checker=checker,
+            rng=Random(f"{seed}:troubles"),
+            configs=configs,
+            max_joins=MAX_JOINS_WHEN_LEAVING if leaving else MAX_JOINS,
+        )
+        await run_load(seed, steps, seconds, fleet, injector, stats)
         await check_recovery(fleet, standins, checker)
     finally:
         await fleet.close()
@@ -125,9 +138,10 @@
                 await asyncio.sleep(0.1)
 
 
-async def run_load(seed, steps, seconds, fleet, standins, checker, stats, configs):
+async def run_load(seed, steps, seconds, fleet, injector, stats):
     """Run callers, probes and faults; callers and probes go on while faults settle."""
     until = time.monotonic() + seconds + SETTLE_TIME
+    checker = injector.checker
     checker.fault_free_since = time.monotonic()
     callers = [
         Caller(
@@ -139,17 +153,10 @@
         )
         for number in range(CALLERS_PER_DAEMON * len(fleet.daemons))
     ]
-    injector = FaultInjector(
-        fleet=fleet,
-        standins=standins,
-        checker=checker,
-        rng=Random(f"{seed}:troubles"),
-        configs=configs,
-    )
     async with asyncio.TaskGroup() as group:
         for caller in callers:
             group.create_task(caller.run(until))
-        group.create_task(configs.run(until))
+        group.create_task(injector.configs.run(until))
         group.create_task(run_schedule(steps, injector))
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -50,6 +50,20 @@
 # All faults, upstreams that outlast the timeout of statements, and links that are reset
 # meanwhile.
 SLOW_WEIGHTS = {**FAULT_WEIGHTS, "upstream_slow": 15, "links_reset": 10}
+# Upstreams that leave while daemons restart, and learn of it late or from older lists.
+LEAVING_WEIGHTS = {
+    "member_leaves": 8,
+    "kill": 4,
+    "pause": 3,
+    "roll": 2,
+    "store_cut_from_some": 3,
+    "store_silent_for_some": 3,
+    "store_slow": 2,
+    "store_forget": 2,
+    "upstream_dark": 3,
+    "upstream_lag": 3,
+    "upstream_crash": 1,
+}
 # Seconds between the starts of faults; often shorter than the faults, so they overlap.
 INTERVALS = (0.05, 0.3, 0.8, 1.5, 3.0)
 DURATIONS = (0.3, 1.0, 2.5, 5.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.faults import FaultInjector
 from soak.run import soak
 from soak.schedule import (
+    LEAVING_WEIGHTS,
     PLANNED_WEIGHTS,
     SLOW_WEIGHTS,
     STORE_RETURN_WEIGHTS,
@@ -24,6 +25,7 @@
 # Seeds of the CI runs; `make soak` draws random ones.
 SEED = 1
 RETURNS_SEED = 6
+LEAVING_SEED = 1
 SLOW_SEED = 20
 SECONDS = 12.0
 
@@ -118,6 +120,16 @@
     assert violations(checker) == ["DRAIN"]
 
 
+def test_late_work_at_an_upstream_that_leaves_is_noticed_after_a_fault():
+    """Guards against a fault that gives a leaving upstream its whole time again."""
+    checker = make_checker("a-1", "a-2")
+    checker.leaving_since["u1"], checker.fault_free_since = 10.0, 16.0
+    checker.handle_event(ran("a-1", at=16.0 + FAULT_FREE_PERIOD - 0.1))
+    assert checker.broken == []
+    checker.handle_event(ran("a-2", at=16.0 + FAULT_FREE_PERIOD + 0.1))
+    assert violations(checker) == ["DRAIN"]
+
+
 def test_a_cut_by_a_drain_is_noticed_without_other_faults():
     class Daemon:
         """A daemon that drains."""
@@ -265,7 +277,12 @@
     assert draw_schedule(7, 60.0) == draw_schedule(7, 60.0) != draw_schedule(8, 60.0)
     assert all(
         hasattr(FaultInjector, name)
-        for name in {**STORE_RETURN_WEIGHTS, **PLANNED_WEIGHTS, **SLOW_WEIGHTS}
+        for name in {
+            **STORE_RETURN_WEIGHTS,
+            **PLANNED_WEIGHTS,
+            **SLOW_WEIGHTS,
+            **LEAVING_WEIGHTS,
+        }
     )
     assert {step.trouble for step in draw_schedule(7, 60.0, PLANNED_WEIGHTS)} <= set(
         PLANNED_WEIGHTS
@@ -326,3 +343,19 @@
     )
     assert outcome.broken == [] and outcome.exits == []
     assert any(step.trouble == "store_return" for step in outcome.steps)
+
+
+@pytest.mark.xdist_group("platform processes")
+def test_a_short_run_with_leaving_upstreams_has_no_findings(tmp_path):
+    """Upstreams leave while daemons restart, and learn of it late or by older lists."""
+    outcome = asyncio.run(
+        soak(
+            seed=LEAVING_SEED,
+            seconds=SECONDS,
+            daemons=5,
+            folder=tmp_path,
+            leaving=True,
+        )
+    )
+    assert outcome.broken == [] and outcome.exits == []
+    assert any(step.trouble == "member_leaves" for step in outcome.steps)
