--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -451,10 +451,27 @@
     for fault in FAULTS:
         row = [describe(cells[(step.name, fault.__name__)]) for step in STEPS]
         lines.append(f"| {title(fault)} | " + " | ".join(row) + " |")
-    lines += ["", *NOT_PROVED]
+    lines += ["", *LATE_NEWS, "", *NOT_PROVED]
     DOC.write_text("\n".join(lines) + "\n")
 
 
+LATE_NEWS = (
+    "## Late and older news of upstreams",
+    "",
+    "Not in the table: on the platform, upstreams report that they leave, and daemons",
+    "learn of it late or in another order.",
+    "",
+    "| news | effect | held by |",
+    "|---|---|---|",
+    "| heard after a cut from the store, a freeze or a restart | counts from the last"
+    " time at which the store did not have it | `test_leaving_upstreams.py` |",
+    "| an older list, batch, entry or removal | none | `test_roster_order.py` |",
+    "| heard while a statement waits | the statement is not sent |"
+    " `test_leaving_upstreams.py` |",
+    "| all of these beside takeovers and slow upstreams | no statement arrives late |"
+    " `test_leaving_chaos.py` |",
+)
+
 NOT_PROVED = (
     "## Not proved, not possible",
     "",
