--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -308,7 +308,8 @@
 
 async def commit(group, tx, job):
     """COMMIT; the reply says whether it is kept, rolled back or in doubt."""
-    if tx.pooled is None:
+    first = tx.pooled is None
+    if first:
         refused = await open_at_upstream(group, tx, job)
         if refused is not None:
             return refused
@@ -326,9 +327,12 @@
     stall_id = group.stall.begin(asked_at) if tx.wrote else 0
     try:
         async with count_statement(group, tx):
-            reply = await send_until_accepted(group, tx, job)
+            reply = await send_until_accepted(group, tx, job, first=first)
         if stall_id:
             group.stall.end(stall_id, group.context.clock())
+    except UpstreamUnusable:
+        await close(group, tx)
+        return aborted_reply("its upstream leaves")
     except UpstreamError as exc:
         group.watch.recheck(tx.upstream)
         await abandon(group, tx)
--- a/packages/sessions/gypsum_sessions/upstreams/membership.py
+++ b/packages/sessions/gypsum_sessions/upstreams/membership.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from gypsum_policy.listing import UNKNOWN
 from gypsum_policy.revisions import format_revision
 
 PART = "proxy"
@@ -32,7 +33,8 @@
         for member, reason in outdated:
             self.log_outdated(member, reason)
         for member in self.roster.members.values():
-            if state_fields(member) != state_fields(before.get(member.id)):
+            # Ready upstreams that are new have no line: a first list has thousands.
+            if work_state(member) != work_state(before.get(member.id)):
                 self.log_member("upstream listed", member, source, revision)
 
     def update(self, member, *, source):
@@ -48,11 +50,11 @@
     def add_recorded(self, group, members):
         """Add the members that a group had when it was last recorded."""
         self.recorder.set_recorded(group, members)
-        before = dict(self.roster.members)
+        added = [item.id for item in members if item.id not in self.roster.members]
         self.roster.add_recorded([replace(item, source=RECORD) for item in members])
-        for member in self.roster.members.values():
-            if member.id not in before:
-                self.log_member("upstream listed", member, RECORD, 0)
+        for name in added:
+            if (member := self.roster.members.get(name)) is not None:
+                self.log_member("upstream listed", member, RECORD, UNKNOWN)
         self.refresh(group)
 
     def remove(self, name, *, revision, source):
@@ -98,15 +100,16 @@
             group=member.group,
             address=member.address,
             leads=member.leads,
+            leaving=member.leaving,
+            missing=member.missing_since is not None,
             source=source,
             revision=format_revision(revision),
-            **state_fields(member),
             **fields,
         )
 
 
-def state_fields(member):
-    """The state that decides whether an upstream is sent work; empty without one."""
+def work_state(member):
+    """What decides whether an upstream is sent work: leaving, missing."""
     if member is None:
-        return {}
-    return {"leaving": member.leaving, "missing": member.missing_since is not None}
+        return False, False
+    return member.leaving, member.missing_since is not None
