A write to a group that has lost all replicas is refused at once

Callers: such writes waited 0.85 of their statement's time (700 ms on the users' routes) for "no replica can be asked", which was known on arrival.

Cause: can_confirm waits for a replica that all takeovers know, since members that have joined become known within half a second. It waited also where no other member is listed or was a moment ago.

Change: without any other member the answer comes at once, with the longer retry time, as a lost replica has to be replaced.

--- a/packages/sessions/gypsum_sessions/execution/confirm.py
+++ b/packages/sessions/gypsum_sessions/execution/confirm.py
@@ -60,12 +60,14 @@
     Otherwise a daemon that is cut off from the replicas would go on writing and report
     each outcome as unknown. Refused callers can go to another daemon. If no replica is
     listed that all takeovers know, other daemons can't confirm commits either, so this
-    waits up to `timeout` seconds for one.
+    waits up to `timeout` seconds for one, unless the group has lost all replicas.
     """
     if not group.spec.sync_replicas:
         return True
     until = group.context.clock() + timeout
     while not known_replicas(group, leader) and group.context.clock() < until:
+        if not has_replicas(group, leader):
+            return False
         await asyncio.sleep(group.context.tuning.confirm_apply_wait)
     replicas = known_replicas(group, leader)
     if any(item.reachable for item in replicas):
@@ -76,6 +78,11 @@
     return Evidence.HELD in found.values()
 
 
+def has_replicas(group, leader):
+    """Return whether any other member is listed, or was until a moment ago."""
+    return any(name != leader for name in group.upstreams)
+
+
 async def find_evidence(group, position, leader):
     """Query the replicas that all takeovers know, until one has the position.
 
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -110,7 +110,7 @@
             break
         timeout = wait_until - clock()
         if not await can_confirm(group, item.id, timeout=timeout):
-            return cannot_confirm_reply(context.tuning)
+            return cannot_confirm_reply(group, item.id)
         if await begin_at(group, tx, job, item, BEGIN_READ_WRITE) is None:
             return None
         group.watch.recheck(item.id)
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -4,7 +4,11 @@
 
 from gypsum_policy.admission import QueueTimeout
 from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
-from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
+from gypsum_sessions.execution.confirm import (
+    can_confirm,
+    has_replicas,
+    is_confirmed,
+)
 from gypsum_sessions.execution.jobs import send_statement
 from gypsum_sessions.execution.refusals import (
     abandoned_reply,
@@ -50,7 +54,7 @@
             break
         timeout = wait_until - clock()
         if not await can_confirm(group, item.id, timeout=timeout):
-            return cannot_confirm_reply(context.tuning)
+            return cannot_confirm_reply(group, item.id)
         job.tried.append(item.id)
         try:
             queued = item.admission.enqueue(job, usable=takes_writes(group, item))
@@ -157,12 +161,18 @@
         item.pool.release(pooled)
 
 
-def cannot_confirm_reply(tuning):
-    """The refusal of a write whose commit no replica could confirm."""
+def cannot_confirm_reply(group, leader):
+    """The refusal of a write whose commit no replica could confirm.
+
+    Replicas that don't answer may do so in a moment; lost ones have to be replaced.
+    """
+    tuning, replicas = group.context.tuning, has_replicas(group, leader)
     return Reply(
         refusal=Refusal.BUSY,
         detail="not run, no replica can be asked",
-        retry_after_ms=tuning.busy_retry_after_ms,
+        retry_after_ms=tuning.busy_retry_after_ms
+        if replicas
+        else tuning.retry_after_ms,
     )
 
 
--- a/tests/sessions/test_confirm.py
+++ b/tests/sessions/test_confirm.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from gypsum_sessions.interfaces import PromotionLease
 from gypsum_sessions.replies import Refusal
 from tests.sessions.fakegroup import FakeMember
@@ -226,6 +228,27 @@
     run(main())
 
 
+@pytest.mark.parametrize("texts", [["WRITE a 1"], ["BEGIN", "WRITE a 1"]])
+def test_writes_without_any_replica_are_refused_at_once(texts):
+    """Guards against callers who wait for replicas that the group has lost."""
+
+    async def main():
+        rig = await make_settled_rig()
+        rig.group["u2"].crash()
+        rig.group["u3"].crash()
+        rig.proxy.keep_running(rig.proxy.run_maintenance)
+        rig.proxy.update_members([rig.group.listing()[0]])
+        await asyncio.sleep(3.0)
+        caller, started_at = rig.caller("own"), rig.loop.time()
+        for text in texts:
+            reply = await caller.send(text)
+        assert "no replica can be asked" in reply.detail
+        assert reply.retry_after_ms == rig.proxy.tuning.retry_after_ms
+        assert rig.loop.time() - started_at < 0.1
+
+    run(main())
+
+
 def test_entries_that_are_back_confirm_again_within_a_second():
     """Guards against unconfirmed commits for seconds after an outage of the store.
 
