--- a/tests/sessions/test_leaving_upstreams.py
+++ b/tests/sessions/test_leaving_upstreams.py
@@ -1,6 +1,7 @@
 """No statement reaches an upstream long after it has reported that it leaves."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
@@ -46,20 +47,25 @@
     run(main())
 
 
+async def take_old_list(rig, change, seconds):
+    """A takeover's list is answered before a change and arrives seconds after it."""
+    await asyncio.sleep(2.0)
+    rig.clients["d0"].held = True
+    listing = asyncio.create_task(rig.proxy.reload_members())
+    await asyncio.sleep(0.1)
+    change()
+    await asyncio.sleep(seconds)
+    rig.clients["d0"].held = False
+    await listing
+
+
 def test_a_list_from_before_a_report_does_not_undo_it():
     """Guards against a takeover's list that makes a leaving upstream ready again."""
 
     async def main():
         rig = ListedRig()
-        await asyncio.sleep(2.0)
-        rig.clients["d0"].held = True
-        listing = asyncio.create_task(rig.proxy.reload_members())
-        await asyncio.sleep(0.1)
-        rig.report("u2", "draining")
-        reported_at = rig.loop.time()
-        await asyncio.sleep(1.0)
-        rig.clients["d0"].held = False
-        await listing
+        await take_old_list(rig, partial(rig.report, "u2", "draining"), 1.0)
+        reported_at = rig.reported_at["u2"]
         last = await rig.last_offer(rig.proxy, "u2", reported_at + 16.0)
         assert last <= reported_at + DRAIN
 
@@ -71,15 +77,8 @@
 
     async def main():
         rig = ListedRig()
-        await asyncio.sleep(2.0)
-        rig.clients["d0"].held = True
-        listing = asyncio.create_task(rig.proxy.reload_members())
-        await asyncio.sleep(0.1)
-        rig.store.remove(UPSTREAM_KIND, "u2")
-        removed_at = rig.loop.time()
-        await asyncio.sleep(3.5)
-        rig.clients["d0"].held = False
-        await listing
+        await take_old_list(rig, partial(rig.store.remove, UPSTREAM_KIND, "u2"), 3.5)
+        removed_at = rig.loop.time() - 3.5
         last = await rig.last_offer(rig.proxy, "u2", removed_at + 10.0)
         assert last <= removed_at + 3.0
 
