--- a/packages/sessions/gypsum_sessions/daemons/feedfollower.py
+++ b/packages/sessions/gypsum_sessions/daemons/feedfollower.py
@@ -160,6 +160,10 @@
         self.drop_stale_updates(name)
         return bool(self.feed(name).pending)
 
+    def has_whole_list(self, name):
+        """Return whether the next update that can be applied is a whole list."""
+        return self.has_updates(name) and self.feed(name).pending[0].whole
+
     async def wait_for_list(self, name, seconds):
         """Wait for a requested list; return whether there are updates.
 
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -163,7 +163,8 @@
 
     async def join(self):
         """Add a member, which is listed once all daemons have a proxy to it."""
-        member = FakeMember(id=f"u{len(self.group.members) + 1}", group=self.group)
+        number = len(self.group.members) + len(self.group.departed) + 1
+        member = FakeMember(id=f"u{number}", group=self.group)
         self.group.members.append(member)
         server, address = await listen(member)
         self.world.servers[member.id] = server
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -556,6 +556,10 @@
         """Tell whether updates are pending."""
         return bool(self.waiting)
 
+    def has_whole_list(self, kind):
+        """Tell whether the next update is a whole list."""
+        return bool(self.waiting) and self.waiting[0].whole
+
     def is_up_to_date(self, kind):
         """Tell whether a watcher confirms that this daemon is up to date."""
         return bool(self.waiting)
