--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -9,7 +9,11 @@
 from gypsum_policy.rounds import Obstacle, pause_before_round, retry_wait
 from gypsum_sessions.catalog import Route
 from gypsum_sessions.execution.admission import JobAbandoned, UpstreamUnusable
-from gypsum_sessions.execution.confirm import can_confirm, is_confirmed
+from gypsum_sessions.execution.confirm import (
+    can_confirm,
+    has_replicas,
+    is_confirmed,
+)
 from gypsum_sessions.execution.jobs import ask_upstream
 from gypsum_sessions.execution.reads import (
     find_floor,
@@ -110,7 +114,8 @@
             break
         timeout = wait_until - clock()
         if not await can_confirm(group, item.id, timeout=timeout):
-            return cannot_confirm_reply(group, item.id)
+            lost = not has_replicas(group, item.id)
+            return cannot_confirm_reply(context.tuning, replicas_lost=lost)
         if await begin_at(group, tx, job, item, BEGIN_READ_WRITE) is None:
             return None
         group.watch.recheck(item.id)
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -54,7 +54,8 @@
             break
         timeout = wait_until - clock()
         if not await can_confirm(group, item.id, timeout=timeout):
-            return cannot_confirm_reply(group, item.id)
+            lost = not has_replicas(group, item.id)
+            return cannot_confirm_reply(context.tuning, replicas_lost=lost)
         job.tried.append(item.id)
         try:
             queued = item.admission.enqueue(job, usable=takes_writes(group, item))
@@ -161,18 +162,16 @@
         item.pool.release(pooled)
 
 
-def cannot_confirm_reply(group, leader):
+def cannot_confirm_reply(tuning, *, replicas_lost=False):
     """The refusal of a write whose commit no replica could confirm.
 
     Replicas that don't answer may do so in a moment; lost ones have to be replaced.
     """
-    tuning, replicas = group.context.tuning, has_replicas(group, leader)
+    busy, lost = tuning.busy_retry_after_ms, tuning.retry_after_ms
     return Reply(
         refusal=Refusal.BUSY,
         detail="not run, no replica can be asked",
-        retry_after_ms=tuning.busy_retry_after_ms
-        if replicas
-        else tuning.retry_after_ms,
+        retry_after_ms=lost if replicas_lost else busy,
     )
 
 
