--- a/tests/sessions/listedrig.py
+++ b/tests/sessions/listedrig.py
@@ -6,7 +6,6 @@
 from gypsum_platform.object_handlers import (
     UPSTREAM_BATCH_INTERVAL,
     UPSTREAM_KIND,
-    UPSTREAM_WATCH_MS,
     UpstreamHandler,
 )
 from tests.sessions.feedrig import VirtualClient, VirtualStore
@@ -93,7 +92,6 @@
             log=proxy.log,
             waker=Waker(),
             batch_interval=UPSTREAM_BATCH_INTERVAL,
-            watch_ms=UPSTREAM_WATCH_MS,
         )
         self.catch_up(proxy)
         proxy.keep_running(feed.run)
