--- a/packages/policy/gypsum_policy/listing.py
+++ b/packages/policy/gypsum_policy/listing.py
@@ -1,4 +1,4 @@
-"""Which of two pieces of news about an upstream's entry is the newer one.
+"""Which of two updates of an upstream's entry is the newer one.
 
 Load pattern: while upstreams are replaced, a daemon learns of their entries by a watch,
 by another daemon's relay and by the whole list that each takeover reads, in any order;
@@ -7,8 +7,8 @@
 from after it.
 """
 
-# Revision of news that does not come from the store's list, such as a record of members
-# that another daemon has written. It is never refused as older.
+# Revision of an update that does not come from the store's list, such as a record of
+# members that another daemon has written. It is never refused as older.
 UNKNOWN = 0
 
 
