--- a/review/standins/backends.py
+++ b/review/standins/backends.py
@@ -123,6 +123,8 @@
         # data in its log, and what had been acknowledged until then.
         self.acknowledged = []
         self.promotions = []
+        # Prepared statements of clients that ran.
+        self.runs = []
         self.tasks = set()
 
     def __getitem__(self, name):
@@ -410,6 +412,7 @@
         access, shape = self.prepared[name]
         item, _, data = rest.partition(" ")
         shown = f"{text} [{access} {shape}]"
+        self.group.runs.append({"request": request, "shape": shape, "item": item})
         if access == "READ":
             return await self.read(request, shown, item)
         return await self.write(request, shown, item, data)
