--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -117,9 +118,15 @@
 
     async def wait_ready(self, name):
         """Wait until a daemon answers the ready probe with 200."""
-        async with asyncio.timeout(READY_WITHIN):
-            while not await self.is_ready(name):
-                await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while not await self.is_ready(name):
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            self.record("NOT READY", name=name, code=self.daemons[name].returncode)
+            for line in (self.folder / f"{name}.log").read_text().splitlines()[-20:]:
+                self.record("log", line=line)
+            raise
         self.record("daemon ready", name=name)
 
     async def is_ready(self, name):
@@ -219,14 +226,22 @@
 
 
 def free_ports(count):
-    """Ports that are free now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Ports that are free now.
+
+    They lie below the ports of outgoing connections, one of which could otherwise take
+    the port of a daemon that is about to start again.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 @asynccontextmanager
