Texts of callers stay in their fields: prepared names, and lines to upstreams

Callers whose prepared shape holds blanks ran shapes that they had not prepared, and so did others on the same connection: the reply was a success. With a shape whose second word is neither READ nor WRITE each EXECUTE was told BUSY, although the PREPARE had been acknowledged and no attempt could succeed.

Cause: the name of a prepared statement at upstreams was made of the shape, which extends to the end of its line, and stands between blanks in EXECUTE and PREPARE. "PREPARE r_stock READ price READ ..." is read as the name r_stock. A refused PREPARE closed the connection and was retried like a lost one.

Change: the name at upstreams is made of a digest of the shape: one short field, the same on all connections, another one for each shape and access. What an upstream refuses as malformed or too large in a SET or PREPARE is told to the caller of the statement that needed it, at once, and the connection stays open.

--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -28,6 +28,7 @@
     NOT_RUN,
     Refusal,
     Reply,
+    StateRejected,
     UpstreamError,
 )
 from gypsum_sessions.takeover.floors import later
@@ -303,6 +304,8 @@
     except asyncio.CancelledError:
         pooled.conn.close()
         raise
+    except StateRejected as exc:
+        return Attempt(upstream=item.id, reply=exc.reply)
     except UpstreamError as exc:
         item.record_failure(exc, clock(), context.tuning)
         group.watch.recheck(item.id)
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -42,6 +42,7 @@
     Refusal,
     Reply,
     SessionState,
+    StateRejected,
     UpstreamError,
     UpstreamLost,
 )
@@ -102,6 +103,8 @@
         return abandoned_reply(job)
     except KeyWithdrawn:
         return key_withdrawn_reply()
+    except StateRejected as exc:
+        return exc.reply
 
 
 async def open_writing(group, tx, job):
@@ -221,6 +224,9 @@
         reply = await pooled.conn.ask(
             statement, timeout=context.tuning.command_timeout, after=after
         )
+    except StateRejected:
+        item.pool.release(pooled)
+        raise
     except UpstreamError as exc:
         item.record_failure(exc, clock(), context.tuning)
         pooled.conn.close()
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -21,6 +21,7 @@
     NOT_RUN,
     Refusal,
     Reply,
+    StateRejected,
     UpstreamError,
     UpstreamLost,
     UpstreamTimeout,
@@ -120,6 +121,8 @@
     try:
         try:
             await sync_session(group, job, pooled)
+        except StateRejected as exc:
+            return exc.reply
         except UpstreamError as exc:
             group.watch.recheck(item.id)
             raise NotSent(str(exc)) from exc
--- a/packages/sessions/gypsum_sessions/replies.py
+++ b/packages/sessions/gypsum_sessions/replies.py
@@ -132,5 +132,17 @@
         return self.refusal is Refusal.CONNECTION_LIMIT
 
 
+class StateRejected(UpstreamError):
+    """The upstream refused a session's value or prepared statement as invalid.
+
+    `reply` is the refusal of the statement that needed it, which has not run. Another
+    attempt would be refused too.
+    """
+
+    def __init__(self, message, *, step, peer, reply):
+        super().__init__(message, step=step, peer=peer)
+        self.reply = reply
+
+
 class UpstreamBusy(UpstreamError):
     """The upstream is alive, but its queue is full; nothing ran."""
--- a/packages/sessions/gypsum_sessions/upstreams/pooled.py
+++ b/packages/sessions/gypsum_sessions/upstreams/pooled.py
@@ -2,11 +2,23 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from gypsum_sessions.interfaces import UpstreamConn
-from gypsum_sessions.replies import SessionState, UpstreamLost
+from gypsum_sessions.replies import (
+    Refusal,
+    Reply,
+    SessionState,
+    StateRejected,
+    UpstreamLost,
+)
 from gypsum_sessions.statements import RESET, ROLLBACK, Statement, StatementKind
 
+# Collisions are negligible, also among shapes that are chosen to collide.
+NAME_DIGEST_BYTES = 16
+# Refusals of a SET or PREPARE that any attempt would get.
+INVALID = frozenset({Refusal.MALFORMED, Refusal.TOO_LARGE})
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class PooledConn:
@@ -39,9 +51,11 @@
     """Name of a prepared statement at upstreams, the same for all sessions.
 
     Names that callers choose collide on a shared connection. Named after their content,
-    prepared statements can be shared.
+    prepared statements can be shared. A shape may hold blanks and be long, a name may
+    not, so the name has the shape's digest.
     """
-    return f"{'w' if writes else 'r'}_{shape}"
+    digest = blake2b(shape.encode(), digest_size=NAME_DIGEST_BYTES).hexdigest()
+    return f"{'w' if writes else 'r'}_{digest}"
 
 
 async def sync_session_state(pooled, values, prepared, *, timeout, prepared_limit):
@@ -49,7 +63,8 @@
 
     `prepared` lists the (shape, writes) pairs that the next statement needs. Each step
     is awaited: if a value were refused unnoticed, the statement would run with another
-    session's value. Raises UpstreamError.
+    session's value. Raises StateRejected for a value or shape that the upstream refuses
+    as invalid, another UpstreamError otherwise.
     """
     if needs_reset(pooled, values, prepared, prepared_limit):
         await run_or_close(pooled, RESET, timeout)
@@ -60,13 +75,13 @@
         if pooled.values.get(name) == value:
             continue
         pooled.dirty = True
-        await run_or_close(pooled, set_statement(name, value), timeout)
+        await apply_state(pooled, set_statement(name, value), timeout)
         pooled.values[name] = value
         pooled.dirty = False
     for shape, writes in prepared:
         if (shape, writes) in pooled.prepared:
             continue
-        await run_or_close(pooled, prepare_statement(shape, writes), timeout)
+        await apply_state(pooled, prepare_statement(shape, writes), timeout)
         pooled.prepared.add((shape, writes))
 
 
@@ -84,12 +99,37 @@
     reply = await pooled.conn.ask(statement, timeout=timeout)
     if not reply.ok:
         pooled.conn.close()
-        raise UpstreamLost(
-            f"{reply.refusal} {reply.detail}",
-            step=str(statement.kind),
-            peer=pooled.upstream,
-        )
-    return reply
+        raise refused(pooled, statement, reply)
+
+
+async def apply_state(pooled, statement, timeout):
+    """Run a SET or PREPARE of a session's state; closes the connection if it fails.
+
+    One that is refused as invalid leaves the connection as it was.
+    """
+    reply = await pooled.conn.ask(statement, timeout=timeout)
+    if reply.ok:
+        return
+    if reply.refusal not in INVALID:
+        pooled.conn.close()
+        raise refused(pooled, statement, reply)
+    step = str(statement.kind)
+    detail = f"not run, {step} {statement.name}: {reply.detail or reply.refusal}"
+    raise StateRejected(
+        detail,
+        step=step,
+        peer=pooled.upstream,
+        reply=Reply(refusal=reply.refusal, detail=detail),
+    )
+
+
+def refused(pooled, statement, reply):
+    """The error for a statement that the upstream did not run."""
+    return UpstreamLost(
+        f"{reply.refusal} {reply.detail}",
+        step=str(statement.kind),
+        peer=pooled.upstream,
+    )
 
 
 async def roll_back(pooled, timeout):
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gypsum_core.records import Position
+from gypsum_platform.codec import format_statement
 from gypsum_sessions.replies import (
     Refusal,
     Reply,
@@ -19,12 +20,15 @@
 )
 from gypsum_sessions.statements import StatementKind
 from gypsum_sessions.upstreams.roster import Member
+from tests.standins.wirereader import NotAllowed, read_text
 
 NETWORK_DELAY = 0.001
 PROMOTE_TIME = 0.8
 # Seconds that a dead member stays listed: until three of its reports are missing.
 LISTED_AFTER_DEATH = 1.5
 ORIGIN = Position(term=0, index=0)
+# Statements with fields of which the proxy makes a line.
+REREAD = frozenset({StatementKind.SET, StatementKind.PREPARE, StatementKind.EXECUTE})
 TURNED_AWAY = frozenset({Refusal.LAGGING, Refusal.BUSY})
 
 
@@ -49,7 +53,8 @@
     that still count towards `limit`. `fail_every`: one read in so many fails, or gets
     no answer with `hangs`. `arrivals`, `turned_away`: callers' statements, and those
     of them that it refused without running them. `status_work`: seconds that a query
-    for its status takes; `status_queries` counts them.
+    for its status takes; `status_queries` counts them. `refuses_shapes`: it refuses to
+    prepare any shape. `executed`: the (request, shape, access) of executed statements.
     """
 
     id: str
@@ -73,6 +78,8 @@
     hangs: bool = False
     status_work: float = 0.0
     status_queries: int = 0
+    refuses_shapes: bool = False
+    executed: list = field(default_factory=list)
     arrivals: int = 0
     turned_away: int = 0
     conns: list = field(default_factory=list)
@@ -297,7 +304,8 @@
         self.read_only = False
         self.pending = []
         self.values = {}
-        self.prepared = set()
+        # Shape and access of each prepared name.
+        self.prepared = {}
         self.queue = asyncio.Lock()
         member.conns.append(self)
 
@@ -361,6 +369,10 @@
         member = self.member
         if member.dead:
             raise UpstreamLost("crashed", step="ask", peer=member.id)
+        try:
+            statement = self.reread(statement)
+        except NotAllowed:
+            return self.refuse(Refusal.MALFORMED)
         kind = statement.kind
         if self.state is SessionState.FAILED and kind not in (
             StatementKind.ROLLBACK,
@@ -383,7 +395,9 @@
                 self.values[statement.name] = statement.argument
                 return self.done()
             case StatementKind.PREPARE:
-                self.prepared.add(statement.name)
+                if member.refuses_shapes:
+                    return self.refuse(Refusal.MALFORMED)
+                self.prepared[statement.name] = (statement.shape, statement.writes)
                 return self.done()
             case StatementKind.STATUS:
                 member.status_queries += 1
@@ -402,6 +416,14 @@
                 return self.status()
         return await self.work(statement, request)
 
+    def reread(self, statement):
+        """A statement as an upstream reads it from its line; raises NotAllowed."""
+        if statement.kind not in REREAD:
+            return statement
+        again = read_text(format_statement(statement))
+        _, writes = self.prepared.get(again.name, (None, statement.writes))
+        return again if again.shape else replace(again, writes=writes)
+
     def begin(self, statement):
         """Run BEGIN; only a leader accepts a read-write transaction."""
         if statement.writes and not self.member.leads:
@@ -422,6 +444,8 @@
         executes = statement.kind is StatementKind.EXECUTE
         if executes and statement.name not in self.prepared:
             return self.refuse(Refusal.UNKNOWN_NAME)
+        if executes:
+            member.executed.append((request, *self.prepared[statement.name]))
         while member.busy >= member.slots:
             await asyncio.sleep(0.001)
         if not self.alive:
--- a/tests/sessions/test_remote.py
+++ b/tests/sessions/test_remote.py
@@ -73,7 +73,7 @@
             conn
             for member in rig.group.members
             for conn in member.conns
-            if "w_q2c" in conn.prepared
+            if ("q2c", True) in conn.prepared.values()
         ]
         assert [conn.values for conn in used] == [{"zone": "north"}]
 
--- a/tests/standins/wireupstream.py
+++ b/tests/standins/wireupstream.py
@@ -1,29 +1,21 @@
 """Upstreams that speak the wire protocol over TCP, backed by an in-memory group."""
 
 import asyncio
+from dataclasses import replace
 
 from gypsum_platform.codec import (
     LineSplitter,
-    MalformedLine,
     error_line,
     line,
-    read_position,
-    read_statement,
     ready_line,
     split_line,
 )
 from gypsum_platform.wire_codes import CODE_BY_REFUSAL
-from gypsum_sessions.replies import Refusal, UpstreamError
-from gypsum_sessions.statements import Statement, StatementKind
+from gypsum_sessions.replies import Refusal, Reply, UpstreamError
+from gypsum_sessions.statements import StatementKind
 from tests.sessions.fakegroup import FakeConn
+from tests.standins.wirereader import NotAllowed, read_message
 
-COMMAND_BY_WORD = {
-    "STATUS": StatementKind.STATUS,
-    "RESET": StatementKind.RESET,
-    "RESUME": StatementKind.RESUME_REPLICATION,
-    "PAUSE": StatementKind.PAUSE_REPLICATION,
-    "STEPDOWN": StatementKind.STEP_DOWN,
-}
 ANSWER_TIMEOUT = 3600.0
 
 
@@ -89,14 +81,15 @@
 
 async def run_query(conn, text):
     """Run one QUERY line and return the encoded reply."""
-    _, rest = split_line(text)
-    request, query = split_line(rest)
-    after = None
-    if query.startswith("SYNCTO "):
-        _, position, query = query.split(" ", 2)
-        after = read_position(position)
+    try:
+        request, after, statement = read_message(text)
+    except NotAllowed:
+        return encode_reply(Reply(refusal=Refusal.MALFORMED, state=conn.state))
+    if statement.kind is StatementKind.EXECUTE and statement.name in conn.prepared:
+        _, writes = conn.prepared[statement.name]
+        statement = replace(statement, writes=writes)
     reply = await conn.ask(
-        read_query(query),
+        statement,
         timeout=ANSWER_TIMEOUT,
         request="" if request == "-" else request,
         after=after,
@@ -104,26 +97,6 @@
     return encode_reply(reply)
 
 
-def read_query(text):
-    """Parse a caller's statement or a command such as STATUS."""
-    word, rest = split_line(text)
-    kind = COMMAND_BY_WORD.get(word)
-    if kind is not None:
-        return Statement(kind=kind, term=int(rest or 0))
-    try:
-        statement = read_statement(text)
-    except MalformedLine as exc:
-        raise AssertionError(f"{text!r}: {exc}") from exc
-    if statement.kind is StatementKind.EXECUTE and statement.name.startswith("w_"):
-        return Statement(
-            kind=statement.kind,
-            name=statement.name,
-            argument=statement.argument,
-            writes=True,
-        )
-    return statement
-
-
 def encode_reply(reply):
     """Encode a reply as lines; a status becomes a row of its fields."""
     lines = []
