--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -13,10 +13,12 @@
 
 @pytest.fixture(autouse=True)
 def keep_handler():
-    """Restore the signal handler."""
-    before = signal.getsignal(signal.SIGTERM)
+    """Restore the signal handlers."""
+    numbers = (signal.SIGTERM, signal.SIGHUP)
+    before = [signal.getsignal(number) for number in numbers]
     yield
-    signal.signal(signal.SIGTERM, before)
+    for number, handler in zip(numbers, before, strict=True):
+        signal.signal(number, handler)
 
 
 def test_a_daemon_stopped_during_startup_exits_cleanly(monkeypatch):
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 from random import Random
 
 import pytest
 
+from gypsum_platform import daemon
 from gypsum_platform.early import open_callers_port
 from gypsum_platform.late import DELAY, import_late
 from tests.sessions.vclock import run
@@ -62,6 +64,58 @@
                 await asyncio.sleep(0.01)
 
 
+def hold_imports(tmp_path, monkeypatch):
+    """Hold up the imports of daemons until the returned file exists."""
+    gate, folder = tmp_path / "imported", tmp_path / "slow"
+    folder.mkdir()
+    names = {"gate": str(gate), "folder": str(folder)}
+    (folder / "uvloop.py").write_text(SLOW_IMPORT.format(**names))
+    monkeypatch.setenv("PYTHONPATH", str(folder), prepend=os.pathsep)
+    return gate
+
+
+@pytest.mark.xdist_group("platform processes")
+def test_sighup_during_the_imports_ends_no_daemon(tmp_path, monkeypatch):
+    """Guards against a daemon that a change of its settings ends as it starts."""
+    gate = hold_imports(tmp_path, monkeypatch)
+
+    async def main():
+        async with world(tmp_path, daemons=0) as made:
+            await made.start_daemon("d0")
+            reader, writer = await connect(made.ports["d0"][0])
+            made.daemons["d0"].send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+            gate.touch()
+            writer.write(b"STARTUP primary c\r\n")
+            caller = Client(reader=reader, writer=writer, name="c")
+            assert (await caller.line()).startswith("READY")
+            assert made.daemons["d0"].returncode is None
+
+    asyncio.run(main())
+
+
+def test_settings_that_change_as_they_are_read_are_read_again(tmp_path, monkeypatch):
+    """Guards against a daemon that keeps the settings of before a change."""
+    path, made = tmp_path / "settings.json", []
+    path.write_text("before")
+
+    def load(path):
+        """Return settings that are replaced as soon as they have been read."""
+        (tmp_path / "settings.json").write_text("after, and longer")
+        return "settings"
+
+    def make_daemon(**fields):
+        """Record what a daemon is made of."""
+        made.append(fields)
+        raise InterruptedError
+
+    monkeypatch.setattr(daemon, "load_session_settings", load)
+    monkeypatch.setattr(daemon, "Daemon", make_daemon)
+    with pytest.raises(InterruptedError):
+        daemon.run(str(path), stop_requested=lambda: False)
+    assert made[0]["signature"] != daemon.file_signature(path)
+
+
 @pytest.mark.xdist_group("platform processes")
 def test_a_caller_that_connects_during_the_imports_is_served(tmp_path, monkeypatch):
     """Guards against callers that are refused while a daemon starts.
@@ -69,11 +123,7 @@
     The port was opened after the imports, and after a power loss of all daemons the
     connections of all callers were refused until then.
     """
-    gate, folder = tmp_path / "imported", tmp_path / "slow"
-    folder.mkdir()
-    names = {"gate": str(gate), "folder": str(folder)}
-    (folder / "uvloop.py").write_text(SLOW_IMPORT.format(**names))
-    monkeypatch.setenv("PYTHONPATH", str(folder), prepend=os.pathsep)
+    gate = hold_imports(tmp_path, monkeypatch)
 
     async def main():
         async with world(tmp_path, daemons=0) as made:
