--- a/packages/sessions/gypsum_sessions/metrics.py
+++ b/packages/sessions/gypsum_sessions/metrics.py
@@ -101,6 +101,11 @@
             registry=self.registry,
         )
         self.load = LoadMetrics(gauge=partial(Gauge, registry=self.registry))
+        self.takeover = Gauge(
+            "gypsum_takeover",
+            "Each group's promotions by this daemon, and absent members waited for.",
+            registry=self.registry,
+        )
         self.feeds = Gauge(
             "gypsum_feed",
             "Each feed: revision known here and at the watcher, behind it, store lost.",
@@ -146,6 +151,8 @@
             self.feeds.set(
                 {"feed": name, "what": "store_lost"}, int(feed.store_unreachable)
             )
+        for takeover in proxy.takeovers.values():
+            self.collect_takeover(takeover)
         for group in proxy.groups.values():
             for item in group.upstreams.values():
                 labels = {"group": group.name, "upstream": item.id}
@@ -158,6 +165,16 @@
                 self.collect_placement(labels, item, proxy.clock())
                 self.collect_admission(labels, item.admission.queue)
 
+    def collect_takeover(self, takeover):
+        """Update what a takeover has done and what it waits for."""
+        waiting = [] if takeover.group.watch.leader else takeover.waiting_for
+        for what, value in (
+            ("promotions", takeover.promotions),
+            ("waits_given_up", takeover.waits_given_up),
+            ("members_waited_for", len(waiting)),
+        ):
+            self.takeover.set({"group": takeover.group.name, "what": what}, value)
+
     def collect_placement(self, labels, item, now):
         """Update what decides which reads are sent to an upstream."""
         results = item.results
--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -39,7 +39,6 @@
 BEHIND_ATTEMPT_TIMEOUT = 3.0
 # Reasons to replace a primary that still serves.
 HANDOVER_REASONS = frozenset({Reason.LEAVES, Reason.BEHIND})
-WAITING = "waiting for departed members"
 
 
 class Takeover:
@@ -81,9 +80,10 @@
         self.replication = ReplicationControl(group=group, log=self.log)
         self.pending_order = ""
         self.unanswered_orders = set()
-        # Absent members that the takeover waits for, and how often it ended that wait.
+        # Absent members that a takeover waits for, and those it no longer waits for.
         self.waiting_for = []
-        self.unsafe_promotions = 0
+        self.given_up = []
+        self.waits_given_up = 0
         self.backoff_until = 0.0
         self.promotions = 0
         self.attempting = False
@@ -411,29 +411,28 @@
         absent = self.recorder.absent(
             self.group.name, {item.upstream for item in paused}
         )
+        before, self.waiting_for = self.waiting_for, []
         if not may_lack_commits(
             absent=absent, sync_replicas=self.group.spec.sync_replicas
         ):
-            self.waiting_for = []
             return False
         longest = max(item.status.received for item in paused)
         shown = await self.peer_reachability.shown_positions()
         if reaches_all(longest, shown):
-            self.waiting_for = []
             return False
         if self.group.may_return(absent, DEPARTED_MEMBER_TIMEOUT):
-            self.log_absent(WAITING, absent, longest, shown)
+            self.waiting_for = absent
+            if absent != before:
+                self.log_absent("waiting for departed members", absent, longest, shown)
             return True
-        self.unsafe_promotions += 1
-        self.log_absent("departed members given up", absent, longest, shown)
-        self.waiting_for = []
+        if absent != self.given_up:
+            self.given_up = absent
+            self.waits_given_up += 1
+            self.log_absent("departed members given up", absent, longest, shown)
         return False
 
     def log_absent(self, event, absent, longest, shown):
-        """Log what is done about absent members, whenever they change."""
-        if absent == self.waiting_for and event == WAITING:
-            return
-        self.waiting_for = absent
+        """Log absent members, and what is known of the commits that they may hold."""
         known = [position for position in shown if position is not None]
         self.log(
             event,
--- a/tests/sessions/test_departed_members.py
+++ b/tests/sessions/test_departed_members.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+from gypsum_sessions.metrics import SessionMetrics
 from gypsum_sessions.takeover.attempt import DEPARTED_MEMBER_TIMEOUT
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
 from tests.sessions.chaos import DEPARTED_FAULTS, FaultInjector, sync_member_lists
@@ -112,12 +113,27 @@
         start_listing(rig)
         await rig.settle()
         await lose_the_only_copy(rig)
-        await asyncio.sleep(DEPARTED_MEMBER_TIMEOUT + 12.0)
+        await asyncio.sleep(9.0)
+        assert waits(rig) == {"members_waited_for": 2, "waits_given_up": 0}
+        await asyncio.sleep(DEPARTED_MEMBER_TIMEOUT + 3.0)
         assert [name for name, _ in rig.group.promotions] == ["u2"]
+        assert waits(rig) == {"members_waited_for": 0, "waits_given_up": 1}
 
     run(main())
 
 
+def waits(rig):
+    """The most that any daemon's metrics show of the waits for members."""
+    shown = dict.fromkeys(("members_waited_for", "waits_given_up"), 0)
+    for proxy in rig.proxies:
+        metrics = SessionMetrics()
+        metrics.collect(proxy, dropped_lines=0)
+        for what in shown:
+            value = metrics.takeover.get({"group": "db", "what": what})
+            shown[what] = max(shown[what], value)
+    return shown
+
+
 def test_a_former_primary_that_follows_is_paused_like_the_others():
     """Guards against losing an acknowledged commit with a promotion.
 
