A message over a link's limit takes no other statements with it

A statement whose text, shape and session's values came to over 2 MiB as a message, or an answer that did, closed the link between two daemons: writes of all other callers on it were in doubt, and their transactions were rolled back. Nothing limited the values that a session sets.

Cause: the limit of a link was meant for one statement of 1 MiB; its characters take up to two bytes there, and what goes with it was not counted.

Change: a session's values, prepared shapes and their names have at most 2 MiB, more is refused as too large; a link carries messages of 8 MiB, so that the largest statement with the most state fits; an answer with more rows is refused as too large, and its transaction ended, instead of being sent.

Tests: the links of the virtual fleet end at a message over the limit, as the real ones do.

--- a/Makefile
+++ b/Makefile
@@ -50,9 +50,10 @@
 # What an upstream takes; with 9 three daemons own the group. PLANNED=1: restarts alone.
 # RETURNS=1: also a store that returns from older copies. SLOW=1: also slow upstreams and
 # many resets of links. LEAVING=1: upstreams leave, and daemons learn of it late.
+# ABSENT=1: upstreams are down together while daemons restart.
 CONNECTIONS ?= 40
 soak: setup
-	$(PY) -m soak $(SEED:%=--seed %) --minutes $(MINUTES) --runs $(RUNS) --daemons $(DAEMONS) --connections $(CONNECTIONS) $(if $(PLANNED),--planned) $(if $(RETURNS),--returns) $(if $(SLOW),--slow) $(if $(LEAVING),--leaving)
+	$(PY) -m soak $(SEED:%=--seed %) --minutes $(MINUTES) --runs $(RUNS) --daemons $(DAEMONS) --connections $(CONNECTIONS) $(if $(PLANNED),--planned) $(if $(RETURNS),--returns) $(if $(SLOW),--slow) $(if $(LEAVING),--leaving) $(if $(ABSENT),--absent)
 
 # BENCH is the users' bench program, PAGES the folder of their pages, SITES names some of
 # bench/sites.json, all if it is left out.
--- a/packages/links/gypsum_links/frames.py
+++ b/packages/links/gypsum_links/frames.py
@@ -28,10 +28,11 @@
 
 DAEMON_HEADER = "Gypsum-Daemon"
 KEY_HEADER = "Gypsum-Link-Key"
-# A message holds a statement of at most 1 MB, or its rows, and some metadata.
-MAX_MESSAGE_BYTES = 2 << 20
-# A slow link is closed when more unsent bytes are queued: two of the longest messages.
-MAX_BACKLOG_BYTES = 4 << 20
+# A message holds a statement of at most 1 MiB and the values and shapes of its session,
+# 2 MiB, or rows; a character takes up to two bytes.
+MAX_MESSAGE_BYTES = 8 << 20
+# A slow link is closed when more unsent bytes are queued: one of the longest messages.
+MAX_BACKLOG_BYTES = 8 << 20
 # A link that receives this many bytes during a probe is busy, not silent: heartbeats
 # and updates are some hundred bytes a second, and 5 Mbit/s carry 8 KiB in 13 ms.
 BUSY_THRESHOLD_BYTES = 8 << 10
--- a/packages/sessions/gypsum_sessions/callers/session.py
+++ b/packages/sessions/gypsum_sessions/callers/session.py
@@ -16,6 +16,9 @@
 from gypsum_sessions.upstreams.pooled import prepared_name
 
 PART = "request"
+# Characters of a session's values, prepared shapes and their names. They are sent to
+# another daemon with a statement, in one message.
+STATE_LIMIT = 2 << 20
 RUN_AT_UPSTREAM = frozenset(
     {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE}
 )
@@ -161,6 +164,8 @@
 
     async def set_value(self, statement):
         """Run SET, once no earlier statement can run with the old value any more."""
+        if self.exceeds_limit(statement.name, statement.argument, self.values):
+            return self.refuse_state()
         if not await self.wait_unfinished():
             return self.refuse_change()
         self.values[statement.name] = statement.argument
@@ -171,6 +176,8 @@
     async def prepare(self, statement):
         """Run PREPARE; a name changes its shape only as SET changes a value."""
         wanted = PreparedStatement(shape=statement.shape, writes=statement.writes)
+        if self.exceeds_limit(statement.name, statement.shape, self.prepared):
+            return self.refuse_state()
         known = self.prepared.get(statement.name, wanted)
         if known != wanted and not await self.wait_unfinished():
             return self.refuse_change()
@@ -186,6 +193,27 @@
         del self.prepared[statement.name]
         return Reply(state=self.state)
 
+    def exceeds_limit(self, name, text, replaced):
+        """Return whether a value or shape makes the session's state too large.
+
+        `replaced` holds what is kept under its name now.
+        """
+        kept = [*self.values.items(), *self.prepared_shapes()]
+        size = sum(len(name) + len(text) for name, text in kept)
+        if name in replaced:
+            old = replaced[name]
+            size -= len(name) + len(getattr(old, "shape", old))
+        return size + len(name) + len(text) > STATE_LIMIT
+
+    def prepared_shapes(self):
+        """The prepared names with their shapes."""
+        return [(name, item.shape) for name, item in self.prepared.items()]
+
+    def refuse_state(self):
+        """Refuse a value or shape that makes the session's state too large."""
+        detail = f"not run, the session's values and shapes exceed {STATE_LIMIT} bytes"
+        return self.refuse(Refusal.TOO_LARGE, detail)
+
     # Statements that may still run after their reply
 
     def track_unfinished(self, job):
--- a/packages/sessions/gypsum_sessions/daemons/peermessages.py
+++ b/packages/sessions/gypsum_sessions/daemons/peermessages.py
@@ -17,6 +17,10 @@
 from gypsum_sessions.replies import Reply
 from gypsum_sessions.statements import Statement
 
+# Longest message that a link carries, bytes. A longer one would close the link, and all
+# statements on it would be lost.
+MESSAGE_LIMIT = 8 << 20
+
 
 class MessageError(ValueError):
     """Raised for bytes that are not a valid message between daemons."""
--- a/packages/sessions/gypsum_sessions/daemons/requesthandler.py
+++ b/packages/sessions/gypsum_sessions/daemons/requesthandler.py
@@ -13,6 +13,7 @@
 from gypsum_policy.ownership import PRIMARY_LOSS_TOLERANCE
 from gypsum_sessions.daemons.ownerload import needs_leader, report_wait
 from gypsum_sessions.daemons.peermessages import (
+    MESSAGE_LIMIT,
     AbandonStatement,
     EndTransaction,
     FetchList,
@@ -324,15 +325,19 @@
             self.proxy.request_log.count_refusal(
                 request.route.group, "daemons", fields["reply"]
             )
-        self.respond(
-            StatementResponse(
-                call=request.call,
-                accepts_abandon=True,
-                wait_ms=round(wait * 1000),
-                pace_ms=round(pace * 1000),
-                **fields,
-            )
+        answer = StatementResponse(
+            call=request.call,
+            accepts_abandon=True,
+            wait_ms=round(wait * 1000),
+            pace_ms=round(pace * 1000),
+            **fields,
         )
+        if rows_size(answer.reply) <= MESSAGE_LIMIT // 2:
+            self.respond(answer)
+            return
+        if request.transaction:
+            self.spawn(self.end_transaction(request.transaction))
+        self.respond(replace(answer, reply=too_large_reply(answer.reply)))
 
     def report_wait(self, request, group):
         """Return the expected wait for work like a request's, and its pace."""
@@ -428,6 +433,19 @@
     )
 
 
+def rows_size(reply):
+    """The number of characters in a reply's rows."""
+    return sum(map(len, reply.rows))
+
+
+def too_large_reply(reply):
+    """The refusal in place of an answer that no link can carry."""
+    return Reply(
+        refusal=Refusal.TOO_LARGE,
+        detail=f"the answer has {rows_size(reply)} bytes, too many for another daemon",
+    )
+
+
 def not_run(detail):
     """The reply to a statement that was not started."""
     return Reply(refusal=Refusal.BUSY, detail=f"not run, {detail}")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,6 +51,9 @@
     leaving: Annotated[
         bool, cappa.Arg(long=True, help="Upstreams leave; daemons learn of it late.")
     ] = False
+    absent: Annotated[
+        bool, cappa.Arg(long=True, help="Upstreams are down together, daemons restart.")
+    ] = False
     keep: Annotated[
         Path | None,
         cappa.Arg(long=True, help="Folder for logs; a temporary one by default."),
@@ -78,6 +81,7 @@
                 returns=options.returns,
                 slow=options.slow,
                 leaving=options.leaving,
+                absent=options.absent,
             )
         )
         print(started_at, *outcome.lines(), sep="\n", flush=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,8 @@
 # How many upstreams are replaced in a run, and in one of leaving upstreams.
 MAX_JOINS = 2
 MAX_JOINS_WHEN_LEAVING = 8
+# Two upstreams that crash are down for longer than their entries stay listed, seconds.
+TWO_DOWN_TIME = 6.0
 NETWORK_DELAY = 0.08
 APPLY_LAG = 1.0
 # Seconds that a statement takes at a slow upstream; the soak's routes wait for three.
@@ -216,6 +218,39 @@
         await asyncio.sleep(duration + 1.5)
         await self.standins.run_command("member", name=name, what="restart")
 
+    async def two_crash(self, duration):
+        """Crash the primary and a replica while a third member lacks their commits."""
+        leader = await self.standins.run_command("leader")
+        others = [
+            name
+            for name in self.fleet.members
+            if name != leader and name not in self.checker.leaving_since
+        ]
+        if not leader or leader in self.checker.leaving_since or len(others) < 2:
+            return
+        behind, other = self.rng.sample(others, 2)
+        await self.set_member(behind, "not_receiving", True)
+        await asyncio.sleep(1.0)
+        for name in (leader, other):
+            await self.set_member(name, "crash")
+        await self.set_member(behind, "not_receiving", False)
+        await asyncio.sleep(TWO_DOWN_TIME + duration)
+        for name in (leader, other):
+            await self.set_member(name, "restart")
+
+    async def two_crash_and_kill_all(self, duration):
+        """The same, and all daemons restart while the two are down."""
+        await asyncio.gather(self.two_crash(duration), self.kill_all_after(1.5))
+
+    async def kill_all_after(self, seconds):
+        """Kill all processes after some time."""
+        await asyncio.sleep(seconds)
+        await self.kill_all(0.2)
+
+    async def set_member(self, name, what, value=True):
+        """Set or end a fault of one member."""
+        await self.standins.run_command("member", name=name, what=what, value=value)
+
     async def upstream_dark(self, duration):
         """Make a member answer nothing."""
         await self.member_fault(duration, "unresponsive", True, False)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from soak.faults import MAX_JOINS, MAX_JOINS_WHEN_LEAVING, FaultInjector
 from soak.fleet import Fleet, StandInProcess, connect
 from soak.schedule import (
+    ABSENT_WEIGHTS,
     FAULT_WEIGHTS,
     LEAVING_WEIGHTS,
     PLANNED_WEIGHTS,
@@ -56,8 +57,10 @@
         yield f"findings: {len(self.broken) + len(self.exits)}"
 
 
-def weights_for(*, planned, returns, slow, leaving):
+def weights_for(*, planned, returns, slow, leaving, absent):
     """Return the faults to draw from, with their weights."""
+    if absent:
+        return ABSENT_WEIGHTS
     if leaving:
         return LEAVING_WEIGHTS
     if planned:
@@ -78,6 +81,7 @@
     returns=False,
     slow=False,
     leaving=False,
+    absent=False,
 ):
     """Run one seed and return its outcome. Logs and settings stay in the folder.
 
@@ -85,11 +89,14 @@
     the group and the others send them their statements. `planned` draws only planned
     work, `returns` also restores the store from older copies, `slow` also makes
     upstreams slower than statements wait. `leaving` draws upstreams that leave, and
-    what makes daemons learn of it late.
+    what makes daemons learn of it late. `absent` draws upstreams that are down together
+    while daemons restart, stand still or are cut off.
     """
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    weights = weights_for(planned=planned, returns=returns, slow=slow, leaving=leaving)
+    weights = weights_for(
+        planned=planned, returns=returns, slow=slow, leaving=leaving, absent=absent
+    )
     steps = draw_schedule(seed, seconds, weights)
     checker, stats = StatementChecker(), AnswerStats()
     (folder / "schedule.txt").write_text("\n".join(map(str, steps)) + "\n")
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -64,6 +64,19 @@
     "upstream_lag": 3,
     "upstream_crash": 1,
 }
+# Upstreams that are down together while daemons restart, stand still or are cut off.
+ABSENT_WEIGHTS = {
+    "two_crash": 8,
+    "two_crash_and_kill_all": 8,
+    "kill": 3,
+    "pause": 3,
+    "roll": 2,
+    "upstream_deaf": 2,
+    "upstream_crash": 2,
+    "path_one_way": 3,
+    "store_silent_for_some": 2,
+    "member_leaves": 1,
+}
 # Seconds between the starts of faults; often shorter than the faults, so they overlap.
 INTERVALS = (0.05, 0.3, 0.8, 1.5, 3.0)
 DURATIONS = (0.3, 1.0, 2.5, 5.0)
--- a/tests/sessions/fakelinks.py
+++ b/tests/sessions/fakelinks.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from gypsum_links.frames import MAX_MESSAGE_BYTES
+
 # One-way delay between two daemons, seconds.
 ONE_WAY_DELAY = 0.0005
 
@@ -113,9 +115,15 @@
         return self.unsent
 
     def send(self, data):
-        """Send a message; on a slow link, after what its daemon has sent before."""
+        """Send a message; on a slow link, after what its daemon has sent before.
+
+        One over the limit ends the link, as the other daemon refuses it.
+        """
         if not self.alive:
             return False
+        if len(data) > MAX_MESSAGE_BYTES:
+            self.end("too long")
+            return False
         delay = self.links.send_delay(self.at, len(data))
         if delay:
             self.unsent += len(data)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.faults import FaultInjector
 from soak.run import soak
 from soak.schedule import (
+    ABSENT_WEIGHTS,
     LEAVING_WEIGHTS,
     PLANNED_WEIGHTS,
     SLOW_WEIGHTS,
@@ -282,6 +283,7 @@
             **PLANNED_WEIGHTS,
             **SLOW_WEIGHTS,
             **LEAVING_WEIGHTS,
+            **ABSENT_WEIGHTS,
         }
     )
     assert {step.trouble for step in draw_schedule(7, 60.0, PLANNED_WEIGHTS)} <= set(
