--- a/packages/sessions/gypsum_sessions/upstreams/recorder.py
+++ b/packages/sessions/gypsum_sessions/upstreams/recorder.py
@@ -23,7 +23,7 @@
 # The first record of a group is written after this many checks (3 s): a list with gaps
 # after an outage of the store is complete again two seconds after the store's return.
 FIRST_RECORD_AFTER_CHECKS = 12
-# The first record is written this many checks later (15 s) if commits may lie with
+# The first record is written after this many checks (15 s) even if commits may lie with
 # members that are not listed: nothing is promoted before there is a record.
 UNPROVEN_RECORD_AFTER_CHECKS = 60
 # Checks until a failed write is retried.
@@ -92,7 +92,7 @@
         if members is not None:
             self.set_recorded(group, members)
 
-    async def check(self, group, members, rank, *, now=0.0, leader="", have_copies):
+    async def check(self, group, members, rank, *, now, leader, have_copies):
         """Record a group's members if they have differed from the record long enough.
 
         `rank` is this daemon's position in the group's order. Members on record that
