The report of a leaving upstream outlives its entry

An upstream that had reported that it leaves, was missing long enough to be dropped and was listed again with the same report got its whole drain time anew; one that came back through the record of members counted as one that doesn't leave. Work could reach it long after its time.

Cause: the time of a report was kept with the member, and dropped with it.

Change: the roster keeps a dropped member that had reported for two minutes, 10,000 at most, by incarnation. An entry or a record that brings it back takes the times over; a newer entry that shows it ready ends its report, also one of a new incarnation. An entry from a backup does not, as before.

--- a/packages/sessions/gypsum_sessions/upstreams/roster.py
+++ b/packages/sessions/gypsum_sessions/upstreams/roster.py
@@ -11,6 +11,12 @@
 )
 from gypsum_policy.revisions import same_era
 
+# How long the report of an upstream that was dropped is kept, seconds: it may end long
+# after its drain time, and until then its entry may be lost and listed again.
+REPORT_KEPT_FOR = 120.0
+# The number of such reports, a limit on memory.
+MAX_REPORTS = 10_000
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
@@ -90,6 +96,8 @@
         # The id of the newest incarnation under each name.
         self.newest = {}
         self.missed_checks = Counter()
+        # Upstreams that had reported that they leave when they were dropped, by id.
+        self.dropped_leaving = {}
 
     def store(self, member):
         """Store a member as the newest incarnation of its name."""
@@ -111,19 +119,26 @@
         if known is not None and known.changed and known.joined > member.joined:
             # It restarted under an entry that is older than this incarnation.
             member = replace(member, joined=known.joined)
-        if known is not None and known.leaving and store_was_restored(known, member):
+        reported = known or self.dropped_leaving.get(member.id)
+        if reported and reported.leaving and store_was_restored(reported, member):
             # The backup may be older than its report that it drains.
             member = replace(member, leaving=True)
-        kept = self.with_report_times(member, known)
+        kept = self.with_report_times(member, reported)
+        self.dropped_leaving.pop(member.id, None)
         self.store(kept)
         return kept
 
-    def with_report_times(self, member, known):
-        """A member with the times of its report that it leaves, if it has made one."""
+    def with_report_times(self, member, reported):
+        """A member with the times of its report that it leaves, if it has made one.
+
+        `reported` is the member as it was last known, also if it was dropped since:
+        otherwise an entry that the store lost and has back would give it its drain time
+        anew.
+        """
         if not member.leaving:
             return replace(member, leaving_since=None, not_reported_at=None)
-        if known is not None and known.leaving_since is not None:
-            since, not_reported_at = known.leaving_since, known.not_reported_at
+        if reported is not None and reported.leaving_since is not None:
+            since, not_reported_at = reported.leaving_since, reported.not_reported_at
         else:
             since, not_reported_at = self.clock(), self.confirmed_at
         return replace(member, leaving_since=since, not_reported_at=not_reported_at)
@@ -160,6 +175,7 @@
                 continue
             other = self.other_incarnation(member)
             if other is None:
+                member = self.dropped_leaving.pop(member.id, member)
                 self.store(replace(member, missing_since=self.clock()))
             elif other.born > member.born:
                 self.store(with_restart_revision(other))
@@ -224,8 +240,21 @@
             del self.members[member.id]
             if self.newest.get(member.stable_name) == member.id:
                 del self.newest[member.stable_name]
+            if member.leaving:
+                self.dropped_leaving[member.id] = member
+        self.forget_reports()
         return expired
 
+    def forget_reports(self):
+        """Forget the reports of dropped members that are too old or too many."""
+        oldest = self.clock() - REPORT_KEPT_FOR
+        kept = [
+            item
+            for item in self.dropped_leaving.values()
+            if item.leaving_since is not None and item.leaving_since >= oldest
+        ]
+        self.dropped_leaving = {item.id: item for item in kept[-MAX_REPORTS:]}
+
     def of_group(self, group):
         """Members of a group, including missing ones within their grace period."""
         return [item for item in self.members.values() if item.group == group]
