--- a/packages/cli/gypsum_cli/explain_request.py
+++ b/packages/cli/gypsum_cli/explain_request.py
@@ -26,6 +26,11 @@
 WORKSPACE_EVENTS = frozenset({"over its cap", "let in again", "key withdrawn"})
 # Logged by the daemon that sends a request to such an upstream.
 SENT_TO_LEAVING = "sent to an upstream that leaves or is missing"
+# Logged by a daemon whose takeover waits, and what ends its wait.
+WAITING_FOR_MEMBERS = "waiting for departed members"
+WAIT_ENDS = frozenset(
+    {"promoting", "departed members given up", "lease taken", "found"}
+)
 REFUSAL_TEXTS = {
     "busy": "It has not run: {detail}. The caller got a retry time.",
     "aborted": "Its transaction was rolled back without effect: {detail}.",
@@ -40,11 +45,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class RequestTrace:
-    """The log events of one request, and related events."""
+    """The log events of one request, and related events.
+
+    `wait` is the event of a takeover that waited for members when the request ended.
+    """
 
     request: str
     events: list[dict] = field(default_factory=list)
     context_events: list[dict] = field(default_factory=list)
+    wait: dict | None = None
 
     @property
     def final_event(self):
@@ -100,9 +109,27 @@
     trace = RequestTrace(request=request, events=events)
     if events:
         trace.context_events = [line for line in lines if is_related(line, trace)]
+        trace.wait = find_wait(trace.final_event, lines)
     return trace
 
 
+def find_wait(final, lines):
+    """The event of a takeover that waited for members when a request was refused."""
+    waits = {}
+    for line in lines:
+        if timestamp(line) > timestamp(final) or line.get("group") != final.get(
+            "group"
+        ):
+            continue
+        if line["event"] == WAITING_FOR_MEMBERS:
+            waits[line["daemon"]] = line
+        elif line["event"] in WAIT_ENDS:
+            waits.pop(line["daemon"], None)
+    return (
+        max(waits.values(), key=timestamp, default=None) if "refusal" in final else None
+    )
+
+
 def is_related(line, trace):
     """Return whether an event may explain the outcome of a request."""
     final = trace.final_event
@@ -131,6 +158,7 @@
     yield describe_outcome(trace.final_event)
     yield from describe_owner(trace.final_event)
     yield from describe_leaving(trace.events)
+    yield from describe_wait(trace.wait)
     yield from describe_configuration(trace.final_event)
     if trace.context_events:
         yield "related events:"
@@ -185,6 +213,16 @@
         )
 
 
+def describe_wait(line):
+    """Yield which members a takeover waited for."""
+    if line is not None:
+        yield (
+            f"{line['daemon']} waited for {', '.join(line['departed'])} to come back: "
+            f"one of them may hold commits beyond {line['longest']}, so no other "
+            "member could be promoted."
+        )
+
+
 def describe_configuration(line):
     """Yield the configuration used for the request, and when it was last confirmed.
 
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -176,3 +176,24 @@
     _, out = run(tmp_path, "r3", capsys, [sent, done])
     assert "d1 knew u1 to be leaving for 5.2 s" in out.out
     assert "(entry of revision 17 from takeover)" in out.out
+
+
+def test_a_wait_for_absent_members_is_named(tmp_path, capsys):
+    wait = line(
+        0,
+        "takeover",
+        "waiting for departed members",
+        daemon="d2",
+        group="g",
+        departed=["u1", "u3"],
+        longest="1.5",
+    )
+    refused = line(9, "request", "refused", request="r", group="g", refusal="busy")
+    _, out = run(tmp_path, "r", capsys, [wait, refused])
+    assert "d2 waited for u1, u3 to come back" in out.out
+    for end in (
+        line(5, "takeover", "promoting", daemon="d2", group="g", upstream="u1"),
+        line(5, "leader", "found", daemon="d2", group="g", upstream="u1"),
+    ):
+        _, out = run(tmp_path, "r", capsys, [wait, end, refused])
+        assert "waited for" not in out.out
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,7 +28,10 @@
 RETURNS_SEED = 6
 LEAVING_SEED = 1
 SLOW_SEED = 20
+ABSENT_SEED = 9101
 SECONDS = 12.0
+# Two upstreams that crash are down for seconds.
+ABSENT_SECONDS = 24.0
 
 
 def ran(request, **changes):
@@ -361,3 +364,19 @@
     )
     assert outcome.broken == [] and outcome.exits == []
     assert any(step.trouble == "member_leaves" for step in outcome.steps)
+
+
+@pytest.mark.xdist_group("platform processes")
+def test_a_short_run_with_absent_members_has_no_findings(tmp_path):
+    """Upstreams are down together while daemons restart, stand still or are cut off."""
+    outcome = asyncio.run(
+        soak(
+            seed=ABSENT_SEED,
+            seconds=ABSENT_SECONDS,
+            daemons=4,
+            folder=tmp_path,
+            absent=True,
+        )
+    )
+    assert outcome.broken == [] and outcome.exits == []
+    assert any(step.trouble.startswith("two_crash") for step in outcome.steps)
