Work that needs a primary is refused at once while its group waits for members

While a takeover waits for members that may hold commits, each write and each read at the primary waited 85 % of its time before it was refused, to come back half a second later, although nothing could serve it.

Every daemon can tell from the record and the list that too many members are off the list; the refusal then comes at once, with a second to come back, in which a member that is listed again is promoted.

The test fails before the change.

--- a/packages/sessions/gypsum_sessions/execution/reads.py
+++ b/packages/sessions/gypsum_sessions/execution/reads.py
@@ -19,7 +19,7 @@
     key_withdrawn_reply,
     lagging_reply,
     log_refused,
-    no_leader_reply,
+    no_leader_now,
     overloaded_reply,
     truthful_refusal,
     unable_reply,
@@ -90,11 +90,11 @@
 async def run_rounds(group, job):
     """Run rounds of a read until one gives a reply or no further one can."""
     if not await find_floor(group, job):
-        return no_leader_reply(group.context.tuning)
+        return no_leader_now(group)
     number = 0
     while True:
         if not group.candidates():
-            return no_leader_reply(group.context.tuning)
+            return no_leader_now(group)
         attempts = await run_round(group, job)
         if attempts and attempts[-1].final:
             job.served_by = attempts[-1].upstream
--- a/packages/sessions/gypsum_sessions/execution/refusals.py
+++ b/packages/sessions/gypsum_sessions/execution/refusals.py
@@ -74,10 +74,22 @@
     return Reply(refusal=Refusal.UNKNOWN_KEY, detail=f"{NOT_RUN_PREFIX}{KEY_WITHDRAWN}")
 
 
-def no_leader_reply(tuning):
-    """The refusal of work that needs a leader while there is none."""
+def no_leader_reply(tuning, *, members_absent=False):
+    """The refusal of work that needs a leader while there is none.
+
+    `members_absent`: none can lead before absent members are back.
+    """
     return Reply(
         refusal=Refusal.BUSY,
         detail="not run, the group has no proven primary",
-        retry_after_ms=tuning.retry_after_ms,
+        retry_after_ms=tuning.absent_retry_after_ms
+        if members_absent
+        else tuning.retry_after_ms,
+    )
+
+
+def no_leader_now(group):
+    """The refusal of work that needs a leader, by the state of its group."""
+    return no_leader_reply(
+        group.context.tuning, members_absent=group.waits_for_members()
     )
--- a/packages/sessions/gypsum_sessions/execution/transactions.py
+++ b/packages/sessions/gypsum_sessions/execution/transactions.py
@@ -26,7 +26,7 @@
     key_withdrawn_reply,
     lagging_reply,
     log_refused,
-    no_leader_reply,
+    no_leader_now,
     overloaded_reply,
     unable_reply,
 )
@@ -123,19 +123,19 @@
             return None
         group.watch.recheck(item.id)
         await asyncio.sleep(BUSY_PAUSE)
-    return abandoned_reply(job) if job.abandoned else no_leader_reply(context.tuning)
+    return abandoned_reply(job) if job.abandoned else no_leader_now(group)
 
 
 async def open_reading(group, tx, job):
     """BEGIN READ at any upstream that has reached the minimum position."""
     if not await find_floor(group, job):
-        return no_leader_reply(group.context.tuning)
+        return no_leader_now(group)
     number = 0
     while True:
         if job.abandoned:
             return abandoned_reply(job)
         if not group.candidates():
-            return no_leader_reply(group.context.tuning)
+            return no_leader_now(group)
         obstacles = []
         for upstream in upstream_order(group, job, may_probe=False):
             item = group.upstreams.get(upstream)
--- a/packages/sessions/gypsum_sessions/execution/writes.py
+++ b/packages/sessions/gypsum_sessions/execution/writes.py
@@ -14,7 +14,7 @@
     abandoned_reply,
     key_withdrawn_reply,
     log_refused,
-    no_leader_reply,
+    no_leader_now,
     overloaded_reply,
 )
 from gypsum_sessions.replies import (
@@ -91,7 +91,7 @@
     if job.abandoned:
         return abandoned_reply(job)
     if last is None:
-        return no_leader_reply(context.tuning)
+        return no_leader_now(group)
     return Reply(
         refusal=Refusal.BUSY,
         detail=f"not run, {last.refusal}",
--- a/packages/sessions/gypsum_sessions/takeover/leader.py
+++ b/packages/sessions/gypsum_sessions/takeover/leader.py
@@ -83,7 +83,7 @@
         deadline = self.clock() + timeout
         while not self.leader:
             left = deadline - self.clock()
-            if left <= 0 or self.is_partitioned():
+            if left <= 0 or self.is_wait_pointless():
                 return ""
             await self.wait_change(min(left, PARTITION_CHECK_INTERVAL))
         return self.leader
@@ -99,6 +99,13 @@
             return False
         return is_partitioned([item.last_response_at for item in items], now)
 
+    def is_wait_pointless(self):
+        """Return whether no member is likely to lead soon.
+
+        Callers are then refused at once instead of at the end of their time.
+        """
+        return self.is_partitioned() or self.group.waits_for_members()
+
     async def wait_change(self, timeout):
         """Wait until the leader is found or lost, for at most `timeout` seconds."""
         event = self.changed
@@ -116,7 +123,7 @@
             if floor is not None:
                 return floor
             left = deadline - self.clock()
-            if left <= 0 or self.is_partitioned():
+            if left <= 0 or self.is_wait_pointless():
                 return None
             await self.wait_proof(min(left, PARTITION_CHECK_INTERVAL))
 
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -129,6 +129,9 @@
     prepared_limit: int = 200
     # Callers are told to retry after this if there is no primary.
     retry_after_ms: int = 500
+    # The same if none can lead before absent members are back: a member that is listed
+    # again is paused and promoted within this.
+    absent_retry_after_ms: int = 1000
     # The same if there was merely no free connection.
     busy_retry_after_ms: int = 100
     # Work is sent to a leaving upstream until this long before it stops accepting any:
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -10,6 +10,8 @@
 )
 from gypsum_policy.leaving import work_ends_at
 from gypsum_policy.ownership import share_after_start
+from gypsum_policy.promotion import may_lack_commits
+from gypsum_policy.reachability import UNREACHABLE_AFTER
 from gypsum_policy.revisions import format_revision
 from gypsum_policy.routing import Candidate
 from gypsum_sessions.catalog import Catalog
@@ -114,6 +116,22 @@
         self.departed_at = {name: self.departed_at.get(name, now) for name in names}
         return [name for name, at in self.departed_at.items() if now - at < timeout]
 
+    def waits_for_members(self):
+        """Return whether no member can lead before absent ones are listed again.
+
+        Only once the leader has been lost for a while: just after the start the members
+        on record are known before the list is.
+        """
+        if self.watch.leaderless_for() < UNREACHABLE_AFTER:
+            return False
+        listed = [
+            item.id
+            for item in self.upstreams.values()
+            if item.member.missing_since is None
+        ]
+        absent = self.context.recorder.absent(self.name, listed)
+        return may_lack_commits(absent=absent, sync_replicas=self.spec.sync_replicas)
+
     def update_member(self, member):
         """Add or update one upstream; a changed address gets a new pool."""
         known = self.upstreams.get(member.id)
--- a/tests/sessions/test_departed_members.py
+++ b/tests/sessions/test_departed_members.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from gypsum_sessions.metrics import SessionMetrics
+from gypsum_sessions.replies import Refusal
 from gypsum_sessions.takeover.attempt import DEPARTED_MEMBER_TIMEOUT
 from gypsum_sessions.tuning import DEFAULT_SESSION_TUNING
 from tests.sessions.chaos import DEPARTED_FAULTS, FaultInjector, sync_member_lists
@@ -363,3 +364,37 @@
         assert rig.group.promotions == [("u2", [])]
 
     run(main())
+
+
+def test_a_write_is_refused_at_once_while_the_group_waits_for_members():
+    """Guards against writes that wait for a primary until the end of their time."""
+
+    async def main():
+        rig = Rig(daemons=2)
+        start_listing(rig)
+        await rig.settle()
+        await lose_the_only_copy(rig)
+        await asyncio.sleep(6.0)
+        for text in ("WRITE a 2", "READ a"):
+            began = rig.loop.time()
+            reply = await rig.caller("primary").send(text)
+            assert reply.refusal is Refusal.BUSY and reply.detail.startswith("not run")
+            assert reply.retry_after_ms == 1000
+            assert rig.loop.time() - began < 0.1
+        rig.group["u3"].restart()
+        await asyncio.sleep(0.3 + reply.retry_after_ms / 1000)
+        assert rig.group.leader is rig.group["u3"]
+
+    run(main())
+
+
+def test_a_write_waits_for_the_next_primary_while_no_member_is_awaited():
+    async def main():
+        rig = Rig(daemons=2)
+        start_listing(rig)
+        await rig.settle()
+        rig.group["u1"].crash()
+        await asyncio.sleep(1.2)
+        assert (await rig.caller("own").send("WRITE a 1")).ok
+
+    run(main())
