--- a/tests/platform/test_caller_protocol.py
+++ b/tests/platform/test_caller_protocol.py
@@ -1,11 +1,14 @@
 """Callers' connections: each message gets one complete reply, and nothing else runs."""
 
 import asyncio
+from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gypsum_platform.caller_protocol import CallerProtocol
+from gypsum_sessions.callers.keys import digest_of
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 
@@ -190,3 +193,38 @@
     assert len(ready) <= 1 + len(messages)
     writes = sum(b"WRITE" in item or b"EXECUTE" in item for item in messages)
     assert rig.group.commits <= writes
+
+
+def started_with(line):
+    """What a STARTUP line gives: the database, and the digest of the key."""
+    opened = []
+    conn = CallerProtocol(proxy=None)
+    conn.caller = SimpleNamespace(on_startup=lambda *args: opened.append(args))
+    conn.on_line(line)
+    return opened[0]
+
+
+@pytest.mark.parametrize("key", ["k", "two words", " k ", "", "k\r", "ő", "-"])
+@pytest.mark.parametrize("database", ["orders", "főkönyv"])
+def test_a_key_and_a_database_name_arrive_whole(database, key):
+    """Guards against names and keys that the wire splits or spells otherwise."""
+    line = f"STARTUP {database} {key}".encode().decode("latin-1")
+    assert started_with(line) == (database, digest_of(key.encode()))
+
+
+def test_a_database_name_that_is_no_text_is_kept():
+    assert started_with("STARTUP \xff k")[0] == "\xff"
+
+
+def test_a_statement_without_an_id_of_its_own_is_refused():
+    """Guards against a caller's statement that upstreams take for the proxy's own."""
+    for request in (b"-", b""):
+        texts = [
+            b"STARTUP own c",
+            b"QUERY " + request + b" WRITE a 1",
+            b"QUERY r READ a",
+        ]
+        transport, rig = lines_of([text + b"\r\n" for text in texts])
+        assert transport.lines[1].startswith("ERROR MALFORMED")
+        assert rig.group.acknowledged == []
+        assert any(line.startswith("COMPLETE") for line in transport.lines)
--- a/tests/sessions/test_peer_messages.py
+++ b/tests/sessions/test_peer_messages.py
@@ -2,11 +2,20 @@
 
 import cbor2
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gypsum_core.records import Position
 from gypsum_sessions.daemons import peermessages
-from gypsum_sessions.daemons.peermessages import StatementResponse, decode, encode
+from gypsum_sessions.daemons.peermessages import (
+    StatementRequest,
+    StatementResponse,
+    decode,
+    encode,
+)
 from gypsum_sessions.replies import Reply
+from gypsum_sessions.statements import Statement, StatementKind
+from tests.sessions.rig import catalog
 
 # The fields of each message in order. New fields may only be appended.
 FIELD_ORDER = {
@@ -40,6 +49,7 @@
     "StatementResponse": 8,
     "ReadEnded": 1,
     "Leaving": 0,
+    "LeaderResponse": 2,
     "GrantRequest": 5,
     "GrantResponse": 3,
     "Heartbeat": 1,
@@ -74,3 +84,25 @@
     older = items[: 1 + FIRST_VERSION["StatementResponse"]]
     assert decode(cbor2.dumps(older)) == answer
     assert decode(cbor2.dumps([*items, "of a later version"])) == answer
+
+
+# Every byte of the wire is one character here.
+TEXTS = st.text(alphabet=[chr(code) for code in range(256)], max_size=12)
+
+
+@given(name=TEXTS, value=TEXTS, shape=TEXTS, data=TEXTS)
+def test_texts_of_callers_reach_another_daemon_whole(name, value, shape, data):
+    request = StatementRequest(
+        call=1,
+        request=name,
+        statement=Statement(
+            kind=StatementKind.EXECUTE, name=name, argument=data, writes=True
+        ),
+        route=catalog().routes["own"],
+        left=1.0,
+        values={name: value},
+        prepared=((shape, True),),
+    )
+    assert decode(encode(request)) == request
+    answer = StatementResponse(call=1, reply=Reply(rows=(data, value), proof=name))
+    assert decode(encode(answer)) == answer
