--- a/tests/sessions/test_departed_members.py
+++ b/tests/sessions/test_departed_members.py
@@ -23,6 +23,14 @@
     asyncio.get_running_loop().create_task(sync_member_lists(rig))
 
 
+async def settled_rig():
+    """Two daemons that have found the leader, with lists kept up to date."""
+    rig = Rig(daemons=2)
+    start_listing(rig)
+    await rig.settle()
+    return rig
+
+
 def restart_all(rig):
     """Restart all daemons; they know what the store has."""
     injector = FaultInjector(rig=rig, rng=None, faults=DEPARTED_FAULTS)
@@ -49,9 +57,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         await lose_the_only_copy(rig)
         await asyncio.sleep(9.0)
         assert rig.group.promotions == []
@@ -67,9 +73,7 @@
     """Departed members do not delay the promotion of a log that lacks no commit."""
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         assert (await rig.caller("own").send("WRITE a 1")).ok
         await asyncio.sleep(0.5)
         rig.group["u1"].crash()
@@ -90,9 +94,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         rig.group["u1"].cut_from.update({"u2", "u3"})
         writing = asyncio.create_task(rig.caller("own").send("WRITE a 1"))
         await asyncio.sleep(0.5)
@@ -110,9 +112,7 @@
 
 def test_members_that_never_return_are_waited_for_only_until_the_timeout():
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         await lose_the_only_copy(rig)
         await asyncio.sleep(9.0)
         assert waits(rig) == {"members_waited_for": 2, "waits_given_up": 0}
@@ -144,9 +144,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         cut, other = rig.proxies
         other.takeovers["db"].backoff_until = float("inf")
         cut.context.dialer.dialer.cut.add("u2")
@@ -190,9 +188,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         await lose_the_only_copy(rig)
         await asyncio.sleep(0.5)
         restart_all(rig)
@@ -214,9 +210,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         cut, other = sorted(rig.proxies, key=lambda item: item.takeovers["db"].rank())
         assert (await rig.caller("own", other).send("WRITE a 0")).ok
         await asyncio.sleep(0.5)
@@ -242,9 +236,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         rig.group["u2"].not_receiving = True
         first, last = sorted(rig.proxies, key=lambda item: item.takeovers["db"].rank())
         first.groups["db"].watch.tuning = slow_proofs()
@@ -273,9 +265,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         rig.group["u2"].not_receiving = True
         assert (await rig.caller("own").send("WRITE a 1")).ok
         rig.group["u3"].crash()
@@ -303,9 +293,7 @@
     """Guards against waiting for a replica whose commits others have."""
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         assert (await rig.caller("own").send("WRITE a 1")).ok
         rig.group["u3"].crash()
         await asyncio.sleep(6.0)
@@ -327,9 +315,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         rig.records.down = True
         rig.group.add(1)
         await asyncio.sleep(1.0)
@@ -349,9 +335,7 @@
     """
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         rig.group["u2"].not_receiving = True
         assert (await rig.caller("own").send("WRITE a 1")).ok
         rig.group["u3"].crash()
@@ -370,9 +354,7 @@
     """Guards against writes that wait for a primary until the end of their time."""
 
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         await lose_the_only_copy(rig)
         await asyncio.sleep(6.0)
         for text in ("WRITE a 2", "READ a"):
@@ -390,9 +372,7 @@
 
 def test_a_write_waits_for_the_next_primary_while_no_member_is_awaited():
     async def main():
-        rig = Rig(daemons=2)
-        start_listing(rig)
-        await rig.settle()
+        rig = await settled_rig()
         rig.group["u1"].crash()
         await asyncio.sleep(1.2)
         assert (await rig.caller("own").send("WRITE a 1")).ok
--- a/tests/sessions/test_prepared_shapes.py
+++ b/tests/sessions/test_prepared_shapes.py
@@ -31,6 +31,15 @@
     run(main())
 
 
+async def refusing_rig():
+    """A daemon whose upstreams refuse to prepare any shape."""
+    rig = Rig()
+    await rig.settle()
+    for member in rig.group.members:
+        member.refuses_shapes = True
+    return rig
+
+
 def executed(rig):
     """The prepared statements that all upstreams ran."""
     return [item for member in rig.group.members for item in member.executed]
@@ -49,10 +58,7 @@
     """Guards against BUSY at each EXECUTE, after which a caller retries for good."""
 
     async def main():
-        rig = Rig()
-        await rig.settle()
-        for member in rig.group.members:
-            member.refuses_shapes = True
+        rig = await refusing_rig()
         caller = rig.caller("own")
         assert (await caller.send(f"PREPARE p {access} no shape")).ok
         began = rig.loop.time()
@@ -68,10 +74,7 @@
 
 def test_a_shape_that_is_refused_ends_only_its_own_transaction():
     async def main():
-        rig = Rig()
-        await rig.settle()
-        for member in rig.group.members:
-            member.refuses_shapes = True
+        rig = await refusing_rig()
         caller = rig.caller("own")
         await caller.send("PREPARE p READ no shape")
         for first in ([], ["WRITE a 1"]):
