A write is sent although the only answer so far took its whole time

An owner refused every write of its callers for good, within a millisecond, with "its turn came too late", while the primary answered all other daemons.

Cause: a statement is not sent if less time is left than the fastest answer of its kind took. If the only answer so far came at the end of its time, after a stall, no later statement had more time left, and nothing that is refused can show a faster answer.

Change: a statement that has more than half of its route's time left is sent in any case. One at the end of its time is held back as before.

--- a/packages/sessions/gypsum_sessions/execution/admission.py
+++ b/packages/sessions/gypsum_sessions/execution/admission.py
@@ -136,9 +136,12 @@
         """Return whether the upstream could answer a job in time if it is sent now.
 
         By its fastest answer: a mean would hold back a kind whose first one was slow.
+        A job that has more than half of its time left is sent in any case: if the only
+        answer so far took that long, no other would ever show a faster one.
         """
         shortest = self.queue.answer_times.shortest(job.kind)
-        return job.time_left(self.clock) > shortest
+        half = job.route.statement_timeout / 2
+        return job.time_left(self.clock) > min(shortest, half)
 
     async def wait(self, ticket, deadline, usable=None):
         """Wait until a ticket is admitted; raises QueueTimeout if that is too late."""
--- a/tests/sessions/test_late_reads.py
+++ b/tests/sessions/test_late_reads.py
@@ -94,3 +94,24 @@
         assert rig.group.acknowledged == []
 
     run(main())
+
+
+def test_a_write_is_sent_although_the_only_answer_so_far_took_its_whole_time():
+    """Guards against an owner that refuses all writes for good after one slow answer.
+
+    Nothing that is refused can show that the upstream is fast again.
+    """
+
+    async def main():
+        rig = Rig()
+        await rig.settle()
+        times = rig.proxy.groups["db"].upstreams["u1"].admission.queue.answer_times
+        assert (await rig.caller("own").send("WRITE a 1")).ok
+        assert (await rig.caller("primary").send("READ a")).ok
+        for kind in times.fastest:
+            times.fastest[kind] = 1.2
+        assert (await rig.caller("own").send("WRITE a 2")).ok
+        assert (await rig.caller("primary").send("READ a")).ok
+        assert max(times.fastest.values()) < 0.1
+
+    run(main())
