--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -344,7 +344,7 @@
                 target, paused = found
                 self.log("handing over", upstream=target, token=self.lease.token)
                 return target
-            if reason is Reason.BEHIND or self.only_primary_may_hold(old_primary):
+            if reason is Reason.BEHIND or self.may_lack_commits_without(old_primary):
                 return ""
         paused = await self.replication.pause_all(
             old_primary,
@@ -389,10 +389,10 @@
         elif outcome is PromoteOutcome.ACCEPTED:
             self.unanswered_orders.clear()
 
-    def only_primary_may_hold(self, primary):
-        """Return whether a commit may lie with the primary and absent members alone.
+    def may_lack_commits_without(self, primary):
+        """Return whether only the primary and absent members may have a commit.
 
-        The primary is then the only one to promote, so that it must not step down.
+        Then no other member may be promoted, and the primary must not step down.
         """
         others = self.group.upstreams.keys() - {primary}
         return may_lack_commits(
