--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,13 +19,12 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins2.record import Record  # noqa: E402
-from standins2.world import Client, Refused, World, main, route  # noqa: E402
+from standins2.world import World, Writers, main, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Length of the dark period, and the bounds of a late order, seconds.
 DARK = 1.6
 LATE_MIN, LATE_MAX = 2.0, 12.0
-WRITERS_PER_DAEMON = 3
 
 
 class Lateness:
@@ -59,35 +58,6 @@
         self.world.service.carry_out(self.backend, word, rest)
 
 
-class Writers:
-    """Clients that write through each daemon, and what they were told."""
-
-    def __init__(self, world):
-        self.world = world
-        self.acknowledged = []
-        self.running = True
-
-    async def run(self, daemon, number):
-        """Write until told to stop; a lost session is opened anew."""
-        name = f"client-{daemon}-{number}"
-        count = 0
-        while self.running:
-            try:
-                client = await Client.open(self.world, daemon, "beadas", name)
-                while self.running:
-                    count += 1
-                    data = f"{name}.{count}"
-                    try:
-                        await client.query(f"WRITE {name} {data}")
-                        self.acknowledged.append((self.world.record.now, data))
-                    except Refused:
-                        pass
-                    await asyncio.sleep(0.05)
-                client.close()
-            except (OSError, TimeoutError, Refused):
-                await asyncio.sleep(0.1)
-
-
 async def run():
     """Run the case; return what was broken."""
     record = Record(FOLDER / "record.txt")
@@ -106,11 +76,8 @@
     """Play the day; return what was broken."""
     primary, late, heir = world.service.backends
     await world.start(daemons=3, routes=[route("beadas", "primary")])
-    writers = Writers(world)
-    for daemon in world.daemons:
-        for number in range(WRITERS_PER_DAEMON):
-            task = asyncio.create_task(writers.run(daemon, number))
-            world.tasks.append(task)
+    writers = Writers(world, "beadas")
+    writers.start(world.daemons, each=3, pause=0.05)
     while ("gypsumhitch", "members.kerelem") not in world.store.objects:
         await asyncio.sleep(0.1)
     await asyncio.sleep(4.0)
@@ -123,7 +90,7 @@
     await asyncio.sleep(3.0)
     writers.running = False
     await asyncio.sleep(2.0)
-    return judge(world, writers, record)
+    return writers.lost()
 
 
 async def trouble(world, lateness, primary):
@@ -172,20 +139,5 @@
     world.on_event(event)
 
 
-def judge(world, writers, record):
-    """LOST: an acknowledged commit isn't in the log of the promoted backend."""
-    record("judge", f"{len(writers.acknowledged)} writes were acknowledged")
-    broken = []
-    for name, _ in world.service.promotions:
-        record("judge", f"{name} was promoted")
-    kept = {data for entry in world.service.primary.log for _, _, data in entry[2]}
-    for at, data in writers.acknowledged:
-        if data not in kept:
-            broken.append(f"LOST: {data}, acknowledged at {at:.3f}, isn't in the log")
-    for text in broken:
-        record("judge", text)
-    return broken
-
-
 if __name__ == "__main__":
     main(run)
--- a/review/standins2/backends.py
+++ b/review/standins2/backends.py
@@ -240,6 +240,7 @@
         while backend.running >= service.slots:
             await asyncio.sleep(0.001)
         backend.running += 1
+        service.started.append((request, backend.name, service.record.now))
         try:
             await asyncio.sleep(service.work_time)
             if backend.down:
@@ -324,6 +325,8 @@
         self.term = 1
         self.backends = []
         self.primary = None
+        # Statements that a slot has begun, and those that have run.
+        self.started = []
         self.ran = []
         # Called with an event's name when a failover is accepted or takes effect.
         self.on_event = lambda event: None
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -11,9 +11,12 @@
 
 from standins2.backends import Service
 from standins2.store import Store
+from standins2.wire import Wire
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT = 30.0
+# Interval of the backends' reports, seconds.
+HEARTBEAT = 1.2
 # Promises that nothing of a client's attempt is kept.
 PROMISES = frozenset(
     {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT"}
@@ -57,8 +60,10 @@
         self.store = Store(record=record, promote=self.service.promote)
         self.daemons = {}
         self.ports = {}
+        # Wires between daemons and the store, by daemon.
+        self.wires = {}
         self.version = 0
-        self.sequence = 0
+        self.store_down = False
         self.tasks = []
 
     async def start(self, *, daemons, routes):
@@ -97,6 +102,13 @@
         self.store.put("config", "main", spec)
         self.record("operator", f"config {self.version} acknowledged")
 
+    def silence_store(self, silent):
+        """Let the store answer nobody, or everybody again."""
+        self.store_down = silent
+        for wire in self.wires.values():
+            wire.silent = silent
+        self.record("trouble", f"the store is {'silent' if silent else 'back'}")
+
     # Backends' entries
 
     def on_event(self, event):
@@ -106,7 +118,8 @@
 
     def report(self):
         """Write the entries of the backends that run."""
-        self.sequence += 1
+        if self.store_down:
+            return
         for backend in self.service.backends:
             if backend.down:
                 continue
@@ -127,7 +140,9 @@
         """Write the entries at each heartbeat; remove those of silent backends."""
         silent = {}
         while True:
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(HEARTBEAT)
+            if self.store_down:
+                continue
             self.report()
             for backend in self.service.backends:
                 count = silent.get(backend.name, 0) + 1 if backend.down else 0
@@ -144,12 +159,15 @@
         if name not in self.ports:
             self.ports[name] = free_ports(4)
         callers, probes, links, metrics = self.ports[name]
+        if name not in self.wires:
+            self.wires[name] = Wire(target=self.store.address)
+            await self.wires[name].listen()
         settings = {
             "daemon": name,
             "domain": "budaors-a",
             "callers": f"127.0.0.1:{callers}",
             "probes": f"127.0.0.1:{probes}",
-            "store": self.store.address,
+            "store": self.wires[name].address,
             "promotions": self.store.address,
             "spare_ports": [links, links],
             "grace_seconds": 6,
@@ -216,6 +234,62 @@
         self.code = code
 
 
+class Writers:
+    """Clients that write through each daemon, and what they were told."""
+
+    def __init__(self, world, database):
+        self.world = world
+        self.database = database
+        # (time of the answer, data) of each acknowledged write.
+        self.acknowledged = []
+        self.running = True
+
+    def start(self, daemons, *, each, pause):
+        """Start as many clients for each daemon, which pause between two writes."""
+        for daemon in daemons:
+            for number in range(each):
+                work = self.run(daemon, f"client-{daemon}-{number}", pause)
+                self.world.tasks.append(asyncio.create_task(work))
+
+    async def run(self, daemon, name, pause):
+        """Write until told to stop; a lost session is opened anew."""
+        count = 0
+        while self.running:
+            try:
+                client = await Client.open(self.world, daemon, self.database, name)
+                while self.running:
+                    count += 1
+                    await self.write(client, f"{name}.{count}")
+                    await asyncio.sleep(pause)
+                client.close()
+            except (OSError, TimeoutError, Refused):
+                await asyncio.sleep(0.1)
+
+    async def write(self, client, data):
+        """Write once; refusals are not retried."""
+        try:
+            await client.query(f"WRITE {client.name} {data}")
+        except Refused:
+            return
+        self.acknowledged.append((self.world.record.now, data))
+
+    def lost(self):
+        """LOST: acknowledged commits that aren't in the promoted backend's log."""
+        service, record = self.world.service, self.world.record
+        record("judge", f"{len(self.acknowledged)} writes were acknowledged")
+        for name, _ in service.promotions:
+            record("judge", f"{name} was promoted")
+        kept = {data for entry in service.primary.log for _, _, data in entry[2]}
+        broken = [
+            f"LOST: {data}, acknowledged at {at:.3f}, isn't in the log"
+            for at, data in self.acknowledged
+            if data not in kept
+        ]
+        for text in broken:
+            record("judge", text)
+        return broken
+
+
 class Client:
     """A client's session with a daemon."""
 
