--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,6 @@
 """A paused replica restarts, and a daemon that hears nothing of the store trusts it.
 
-1. One daemon is partitioned from the store, silently: it hears of no lease from then on.
+1. One daemon is partitioned from the store, silently: it hears of no lease any more.
 2. The primary i-a1 goes dark for a second. Another daemon takes the lease, pauses both
    replicas and designates i-c3, which leads a second later.
 3. Meanwhile the paused replica i-b2 crashes, is back at once, and receives again; i-a1
