--- a/review/standins2/wire.py
+++ b/review/standins2/wire.py
@@ -11,6 +11,7 @@
         self.silent = False
         self.address = ""
         self.server = None
+        self.writers = set()
         # Called with the first bytes of each connection.
         self.on_call = lambda data: None
 
@@ -20,8 +21,21 @@
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def reset(self):
+        """Reset all open connections, as a host does that has started again."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
         """Forward one connection in both directions."""
+        self.writers.add(writer)
+        try:
+            await self.forward_both(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def forward_both(self, reader, writer):
+        """Connect to the target, and forward both directions until they end."""
         host, port = self.target.rsplit(":", 1)
         try:
             await self.wait_open()
@@ -47,7 +61,8 @@
             await self.wait_open()
         except OSError:
             pass
-        writer.close()
+        finally:
+            writer.close()
 
     async def wait_open(self):
         """Wait until the wire isn't silent."""
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -103,10 +103,12 @@
         self.record("operator", f"config {self.version} acknowledged")
 
     def silence_store(self, silent):
-        """Let the store answer nobody, or everybody again."""
+        """Let the store's host be down; when it is back, it resets old connections."""
         self.store_down = silent
         for wire in self.wires.values():
             wire.silent = silent
+            if not silent:
+                wire.reset()
         self.record("trouble", f"the store is {'silent' if silent else 'back'}")
 
     # Backends' entries
@@ -123,18 +125,30 @@
         for backend in self.service.backends:
             if backend.down:
                 continue
-            spec = {
-                "service": self.service.name,
-                "address": backend.address,
-                "zone": "budaors-a",
-                "configVersion": "v1",
-                "capacity": self.service.slots,
-                "state": backend.state,
-                "coldRemainingMs": 0,
-                "dbRole": "primary" if backend.leads else "replica",
-                "sequence": 1,
-            }
-            self.store.put("servers", backend.name, spec)
+            self.put_entry(
+                backend.name,
+                self.service.name,
+                backend.address,
+                state=backend.state,
+                role="primary" if backend.leads else "replica",
+            )
+
+    def put_entry(
+        self, name, service, address, cold_ms=0, *, state="ready", role="replica"
+    ):
+        """Write a backend's entry."""
+        spec = {
+            "service": service,
+            "address": address,
+            "zone": "budaors-a",
+            "configVersion": "v1",
+            "capacity": self.service.slots,
+            "state": state,
+            "coldRemainingMs": cold_ms,
+            "dbRole": role,
+            "sequence": 1,
+        }
+        self.store.put("servers", name, spec)
 
     async def keep_reporting(self):
         """Write the entries at each heartbeat; remove those of silent backends."""
