--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -29,6 +29,11 @@
         self.server = None
         # Answers take this many seconds.
         self.delay = ANSWER_DELAY
+        # How many of the next failover calls get no answer; they are carried out
+        # `late_by` seconds later, when their fence is checked.
+        self.unanswered_failovers = 0
+        self.late_by = 10.0
+        self.on_unanswered = lambda: None
 
     async def listen(self):
         """Listen on a free port."""
@@ -112,6 +117,9 @@
     async def answer(self, method, parts, query, body, headers):
         """The status and body of an answer."""
         if parts == ["failover"]:
+            if self.unanswered_failovers:
+                self.unanswered_failovers -= 1
+                await self.failover_late(body, headers)
             return self.failover(body, headers)
         if parts[:2] != ["api", "objects"]:
             return 404, {}
@@ -170,6 +178,17 @@
         self.record("store", f"replaced {kind}/{name} {body['spec']}")
         return 200, self.put(kind, name, body["spec"])
 
+    async def failover_late(self, body, headers):
+        """Leave a call without an answer, and carry it out later."""
+        text = f"failover to {body['id']} by {headers['x-lease-holder']}"
+        text += f" fence {headers['x-fencing-token']}"
+        self.record("platform", f"{text}: gets no answer, is carried out later")
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.late_by, self.failover, body, headers)
+        self.on_unanswered()
+        await asyncio.sleep(self.late_by)
+        raise ConnectionError("the caller has left")
+
     def failover(self, body, headers):
         """Designate the backend that takes over, unless a higher fence was seen."""
         service, fence = body["service"], int(headers["x-fencing-token"])
