A takeover settles its lease only if no order of an earlier holder is out

The next holder of the lease found the primary back, ordered nothing and marked its lease as settled. Seconds later the platform carried out the first order, whose token was still the highest that it had seen: the replica that the dead daemon had paused led, and all commits since were rolled back.

Cause: `settle` looked at the orders of one attempt of one process. An attempt that takes over an unsettled lease has inherited orders that it does not know, and the platform refuses them only once it has seen a later token. The same gap lay in two related places: each attempt forgot the unanswered orders of the one before, and a restarted daemon took its earlier process's lease for its own.

Ruled out: a fence that the platform does not check (the stand-in refuses lower tokens), a replica that a takeover did not know (all three are on record and known).

Change: takeover/outstanding.py keeps the orders that may still be carried out, across attempts, and knows when a lease was taken over unsettled. Two log fields tell the cases apart: whether the lease before was settled, and why one is left unsettled.

--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -23,6 +23,7 @@
 from gypsum_sessions.interfaces import LeaseError, PromoteOutcome
 from gypsum_sessions.replies import UpstreamError
 from gypsum_sessions.takeover.leader import prove_leads
+from gypsum_sessions.takeover.outstanding import OutstandingOrders
 from gypsum_sessions.takeover.reasons import Reason, Reasons
 from gypsum_sessions.takeover.replication import ReplicationControl
 from gypsum_sessions.upstreams.borrow import borrow_connection
@@ -44,9 +45,9 @@
 class Takeover:
     """Watches one group and replaces its primary when there is a reason to.
 
-    `pending_order` is the member of a promotion order that got no answer.
-    `unanswered_orders` holds all members whose orders may still be carried out. No
-    attempt starts before `backoff_until`.
+    `pending_order` is the member of this attempt's last promotion order if it got no
+    answer. `orders` has all orders that may still be carried out, also those of earlier
+    attempts. No attempt starts before `backoff_until`.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         self.lease = None
         self.replication = ReplicationControl(group=group, log=self.log)
         self.pending_order = ""
-        self.unanswered_orders = set()
+        self.orders = OutstandingOrders()
         # Absent members that a takeover waits for, and those it no longer waits for.
         self.waiting_for = []
         self.given_up = []
@@ -125,6 +126,11 @@
         """This daemon's position in the order in which owners take over."""
         return self.reasons.rank()
 
+    @property
+    def unanswered_orders(self):
+        """Members of our promotion orders that may still be carried out."""
+        return self.orders.unanswered
+
     # One attempt
 
     async def attempt(self, reason):
@@ -144,7 +150,6 @@
         if not await self.acquire_lease(reason):
             return
         self.pending_order = ""
-        self.unanswered_orders = set()
         await self.refresh_members(reason)
         old_primary = self.group.presumed_leader()
         limit = BEHIND_ATTEMPT_TIMEOUT if reason is Reason.BEHIND else ATTEMPT_TIMEOUT
@@ -154,7 +159,7 @@
                 self.log(
                     "attempt abandoned: reason no longer applies", reason=str(reason)
                 )
-                await self.settle()
+                await self.conclude()
                 return
             if self.superseded():
                 self.log("attempt abandoned: another daemon took over")
@@ -163,15 +168,33 @@
                 return
             await asyncio.sleep(ROUND_INTERVAL)
         self.log("attempt timed out")
-        await self.settle()
+        await self.conclude()
 
-    async def settle(self):
-        """Mark our lease as settled unless one of our orders may still have an effect.
+    async def conclude(self):
+        """End an attempt: settle the lease, or finish what may still take effect.
 
-        An unanswered order for the member that leads already has no effect when it is
-        carried out later.
+        Orders of a holder before us may be carried out until the platform has seen a
+        token of ours, which an attempt that promoted nobody never showed it.
         """
-        if self.unanswered_orders - {self.group.watch.leader} or self.superseded():
+        await self.settle()
+        if (
+            self.group.watch.leader
+            and self.orders.may_take_effect(self.group.watch.leader)
+            and not self.superseded()
+        ):
+            await self.finish_abandoned_takeover()
+
+    async def settle(self):
+        """Mark our lease as settled unless an order may still take effect."""
+        if self.superseded():
+            return
+        if self.orders.may_take_effect(self.group.watch.leader):
+            self.log(
+                "lease left unsettled",
+                token=self.lease.token,
+                unanswered=sorted(self.orders.unanswered),
+                inherited=self.orders.inherited,
+            )
             return
         lease = await self.leases.settle(self.group.name, self.lease)
         if lease is not None:
@@ -298,7 +321,14 @@
             return False
         self.lease = lease
         self.lease_view.record(name, lease)
-        self.log("lease taken", reason=reason, token=lease.token, after=seen.holder)
+        self.orders.lease_taken(seen, lease)
+        self.log(
+            "lease taken",
+            reason=reason,
+            token=lease.token,
+            after=seen.holder,
+            after_settled=seen.settled,
+        )
         return True
 
     async def run_round(self, reason, old_primary):
@@ -323,7 +353,7 @@
             self.backoff_until = (
                 self.context.clock() + self.context.tuning.lease_retry_delay
             )
-            await self.settle()
+            await self.conclude()
             return True
         # The token cannot be used again: the order was refused or may still be carried
         # out.
@@ -385,9 +415,9 @@
         be running.
         """
         if outcome is PromoteOutcome.UNANSWERED:
-            self.unanswered_orders.add(upstream)
+            self.orders.order_unanswered(upstream)
         elif outcome is PromoteOutcome.ACCEPTED:
-            self.unanswered_orders.clear()
+            self.orders.order_accepted()
 
     def may_lack_commits_without(self, primary):
         """Return whether only the primary and absent members may have a commit.
--- a/tests/sessions/test_settling.py
+++ b/tests/sessions/test_settling.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from gypsum_sessions.interfaces import PromoteOutcome, PromotionLease
+from gypsum_sessions.takeover.outstanding import OutstandingOrders
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
 from tests.sessions.writers import check_nothing_lost, start_writers, write_for
@@ -174,6 +175,69 @@
     run(main())
 
 
+def test_a_takeover_without_an_order_does_not_settle_what_a_dead_holder_ordered():
+    """Guards against losing all commits since a dead daemon's order.
+
+    A daemon dies after an order that gets no answer. The next holder of the lease finds
+    the primary back and orders nothing; the platform has not seen its token.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        results = []
+        primary, crashing, _ = rig.group.members
+        primary.unresponsive = True
+        rig.promoter.delayed_orders = [10.0]
+        while not rig.promoter.orders:
+            await asyncio.sleep(0.01)
+        holder = rig.promoter.orders[0][1]
+        survivor = next(proxy for proxy in rig.proxies if proxy.name != holder)
+        rig.links.proxies[holder].stop()
+        crashing.crash()
+        while rig.leases.lease.token < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        primary.unresponsive = False
+        await asyncio.sleep(0.4)
+        crashing.restart()
+        await write_for(rig, survivor, 12.0, results)
+        assert all(lost == [] for _, lost in rig.group.promotions)
+        check_nothing_lost(rig, results)
+        assert results[-1][1] is None
+        assert rig.leases.lease.settled
+        assert [item.paused for item in rig.group.replicas()] == [0, 0]
+
+    run(main())
+
+
+def test_orders_of_an_earlier_attempt_are_outstanding_in_the_next_one():
+    """Guards against a lease that is settled while an older order may be carried out.
+
+    An attempt whose order got no answer is aborted, as the store is down. The next one
+    must not take the orders of its own time for all that there are.
+    """
+    orders = OutstandingOrders()
+    first = PromotionLease(holder="d0", token=1, revision=1)
+    second = PromotionLease(holder="d0", token=2, revision=2, chain_start=1)
+    orders.lease_taken(PromotionLease(holder="", token=0, revision=0), first)
+    orders.order_unanswered("u2")
+    orders.lease_taken(first, second)
+    assert orders.may_take_effect("u1")
+    assert not orders.may_take_effect("u2")
+    orders.lease_taken(replace(second, settled=True), replace(second, token=3))
+    assert not orders.may_take_effect("u1")
+
+
+def test_a_restarted_daemon_does_not_know_the_orders_of_its_earlier_process():
+    orders = OutstandingOrders()
+    left = PromotionLease(holder="d0", token=4, revision=8)
+    orders.lease_taken(left, replace(left, token=5))
+    assert orders.may_take_effect("u1")
+    orders.order_accepted()
+    assert not orders.may_take_effect("u1")
+
+
 def test_only_an_accepted_order_invalidates_earlier_ones():
     async def main():
         takeover = Rig().proxy.takeovers["db"]
