A late command to resume replication is on record, and later takeovers know of it

Cause: RESUME carries no term and nothing revokes it, but once its sender gave up it was forgotten, and every later takeover, in whichever daemon, took a pause for final.

Ruled out: a failover order that was carried out late (the platform's lines in the record have the orders' tokens, rising, each answered), and a daemon that had not heard of the takeover (the commits were confirmed over connections and by replicas that it knew).

Change: a lease names the members that were told to resume, with the token, before the first command is sent; none is sent later than two seconds after. Members that answered are dropped from it when the lease is settled. Each daemon counts the others as able to receive again for as long as an upstream may be late (12 s), from when it saw them, after a restart too. A takeover promotes a member without which the old primary can't commit: the one that may receive again, if its log is as long as any. If there is none, the old primary steps down first; one that does not answer is replaced when the time is over. The planned handover chooses its target in the same way.

Cost: a write to the store before replicas are resumed. If all replicas left a command unanswered and the primary falls silent within 14.5 s, it is replaced only after that.

--- a/packages/policy/gypsum_policy/promotion.py
+++ b/packages/policy/gypsum_policy/promotion.py
@@ -70,32 +70,53 @@
     )
 
 
-def choose_handover_target(candidates):
-    """The replica to promote while the primary still serves; "" if none stays."""
-    staying = [item for item in candidates if not item.leaving]
+def pauses_suffice(target, resumable, sync_replicas):
+    """Whether pausing the others keeps all later commits with the member to promote.
+
+    `resumable` are the paused members that may receive again by themselves, as an
+    earlier command to resume them may still be carried out. The old primary can
+    acknowledge a commit that `target` lacks once enough others of them receive it.
+    """
+    others = set(resumable) - {target}
+    return not sync_replicas or len(others) < sync_replicas
+
+
+def choose_handover_target(candidates, resumable=(), sync_replicas=1):
+    """The replica to promote while the primary still serves; "" if none can be."""
+    staying = [
+        item
+        for item in candidates
+        if not item.leaving and pauses_suffice(item.upstream, resumable, sync_replicas)
+    ]
     if not staying:
         return ""
     best = max(staying, key=lambda item: (item.status.received, item.upstream))
     return best.upstream
 
 
-def choose_promotion_target(paused, pending=""):
+def choose_promotion_target(paused, pending="", resumable=(), sync_replicas=1):
     """The member to promote: the one with the longest log, preferably one that stays.
 
     `pending` is the member of a promotion order that got no answer. It is chosen again
     if it has stayed paused since or its log is as long as any: if two orders for
     different members both took effect, the second one would lose what the first member
-    acknowledged as primary.
+    acknowledged as primary. Returns "" if none can be promoted while the `resumable`
+    ones may receive again.
     """
     if any(item.upstream == pending and item.already_paused for item in paused):
-        return pending
+        suffices = pauses_suffice(pending, resumable, sync_replicas)
+        return pending if suffices else ""
+    longest = max(item.status.received for item in paused)
+    candidates = [
+        item
+        for item in paused
+        if item.status.received == longest
+        and pauses_suffice(item.upstream, resumable, sync_replicas)
+    ]
+    if not candidates:
+        return ""
     best = max(
-        paused,
-        key=lambda item: (
-            item.status.received,
-            item.upstream == pending,
-            not item.leaving,
-            item.upstream,
-        ),
+        candidates,
+        key=lambda item: (item.upstream == pending, not item.leaving, item.upstream),
     )
     return best.upstream
--- a/packages/sessions/gypsum_sessions/interfaces.py
+++ b/packages/sessions/gypsum_sessions/interfaces.py
@@ -1,7 +1,7 @@
 """Protocols that the session logic uses and its environment implements."""
 
 from collections.abc import Callable, Set
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, Protocol
 
@@ -65,7 +65,9 @@
 
     `settled` is set once no promotion ordered under this token, or a lower one, can
     take effect any more. `chain_start` is the store's revision of the first lease after
-    the last settled one, 0 if that is this lease.
+    the last settled one, 0 if that is this lease. `resumes` maps the ids of members to
+    the token under which they were told to resume replication, if that command may
+    still be carried out.
     """
 
     holder: str
@@ -73,6 +75,7 @@
     revision: int
     settled: bool = False
     chain_start: int = 0
+    resumes: dict[str, int] = field(default_factory=dict)
 
     @property
     def takeover_start(self):
@@ -108,13 +111,16 @@
     ) -> PromotionLease | None:
         """Acquire the lease with a higher token if it is still at `seen.revision`.
 
-        Returns None if it has changed meanwhile. Raises LeaseError if the outcome is
-        unknown.
+        The new lease has the `resumes` of `seen`. Returns None if it has changed
+        meanwhile. Raises LeaseError if the outcome is unknown.
         """
 
     async def settle(self, group: str, lease: PromotionLease) -> PromotionLease | None:
         """Mark a lease as settled; returns None if it has changed meanwhile."""
 
+    async def update(self, group: str, lease: PromotionLease) -> PromotionLease | None:
+        """Write a lease's fields; returns None if it has changed meanwhile."""
+
 
 class MemberList(Protocol):
     """Reads the list of upstreams from the store."""
--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from gypsum_policy.promotion import (
     DEPARTED_MEMBER_TIMEOUT,
@@ -23,6 +24,7 @@
 from gypsum_sessions.interfaces import LeaseError, PromoteOutcome
 from gypsum_sessions.replies import UpstreamError
 from gypsum_sessions.takeover.leader import prove_leads
+from gypsum_sessions.takeover.lease_view import RESUME_WINDOW
 from gypsum_sessions.takeover.outstanding import OutstandingOrders
 from gypsum_sessions.takeover.reasons import Reason, Reasons
 from gypsum_sessions.takeover.replication import ReplicationControl
@@ -85,6 +87,9 @@
         self.waiting_for = []
         self.given_up = []
         self.waits_given_up = 0
+        # Whether nobody could be promoted in the last round, as paused replicas may
+        # receive again.
+        self.pauses_unreliable = False
         self.backoff_until = 0.0
         self.promotions = 0
         self.attempting = False
@@ -150,6 +155,7 @@
         if not await self.acquire_lease(reason):
             return
         self.pending_order = ""
+        self.pauses_unreliable = False
         await self.refresh_members(reason)
         old_primary = self.group.presumed_leader()
         limit = BEHIND_ATTEMPT_TIMEOUT if reason is Reason.BEHIND else ATTEMPT_TIMEOUT
@@ -376,14 +382,25 @@
                 return target
             if reason is Reason.BEHIND or self.may_lack_commits_without(old_primary):
                 return ""
+        # Unless it leads, pauses that may end by themselves do no harm.
+        step_down = reason is Reason.LEAVES or (
+            self.pauses_unreliable and not self.may_lack_commits_without(old_primary)
+        )
         paused = await self.replication.pause_all(
             old_primary,
-            step_down=reason is Reason.LEAVES,
+            step_down=step_down,
             led_recently=self.group.watch.led_recently(old_primary),
         )
         if paused is None:
             return ""
-        candidate = choose_promotion_target(paused, self.pending_order)
+        resumable = self.replication.resumable()
+        candidate = choose_promotion_target(
+            paused, self.pending_order, resumable, self.group.spec.sync_replicas
+        )
+        self.pauses_unreliable = not candidate
+        if not candidate:
+            self.log("waiting: replicas may resume", resumable=sorted(resumable))
+            return ""
         if await self.must_wait_for_absent(paused):
             return ""
         self.log(
@@ -537,5 +554,34 @@
                 self.context.clock() + self.context.tuning.lease_retry_delay
             )
             return
-        await self.replication.resume_all()
+        await self.resume_replicas()
         await self.settle()
+
+    async def resume_replicas(self):
+        """Resume the paused replicas, which the lease names beforehand.
+
+        A command without an answer may be carried out seconds later and end the pause
+        of another takeover, which has to know of it whichever daemon runs it.
+        """
+        if not self.replication.paused:
+            return
+        until = self.context.clock() + RESUME_WINDOW
+        earlier = self.lease_view.outstanding_resumes(self.group.name)
+        ours = dict.fromkeys(self.replication.paused, self.lease.token)
+        if not await self.record_resumes({**earlier, **ours}):
+            self.log("replicas left paused: another daemon took over")
+            self.replication.paused.clear()
+            return
+        unanswered = await self.replication.resume_all(until)
+        late = dict.fromkeys(unanswered, self.lease.token)
+        self.lease = replace(self.lease, resumes={**earlier, **late})
+
+    async def record_resumes(self, resumes):
+        """Write our lease with its `resumes`; False if another daemon has taken it."""
+        lease = replace(self.lease, resumes=resumes)
+        lease = await self.leases.update(self.group.name, lease)
+        if lease is None:
+            return False
+        self.lease = lease
+        self.lease_view.record(self.group.name, lease)
+        return True
--- a/packages/sessions/gypsum_sessions/takeover/lease_view.py
+++ b/packages/sessions/gypsum_sessions/takeover/lease_view.py
@@ -1,12 +1,20 @@
 """A daemon's view of the promotion leases, with the times of their changes."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from gypsum_sessions.interfaces import PromotionLease
 
 # A takeover that began before this process started counts as under way for this long
 # after the start, seconds.
 INITIAL_WINDOW = 1.0
+# A command to resume replication is sent within this time after its record in the
+# lease was begun, seconds.
+RESUME_WINDOW = 2.0
+# An upstream may carry out a command that it left unanswered for this long, seconds.
+LATE_COMMAND_LIMIT = 12.0
+# A recorded command to resume replication has no effect any more after this time,
+# seconds: the way to the upstream takes part of it.
+RESUME_LIFETIME = RESUME_WINDOW + LATE_COMMAND_LIMIT + 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -14,12 +22,14 @@
     """A lease and the time at which this daemon first saw it, on its own clock.
 
     `chain_seen_at` is the time at which this daemon first saw any lease of the chain:
-    the sequence of unsettled leases that ends with this one.
+    the sequence of unsettled leases that ends with this one. `resumes_seen` has the
+    times at which each entry of the lease's `resumes` was first seen.
     """
 
     lease: PromotionLease
     seen_at: float
     chain_seen_at: float
+    resumes_seen: dict[tuple[str, int], float] = field(default_factory=dict)
 
 
 class LeaseView:
@@ -52,7 +62,12 @@
         took part of that, so only INITIAL_WINDOW of the takeover window is left.
         """
         found = self.clock() - self.takeover_window + INITIAL_WINDOW
-        self.seen[group] = SeenLease(lease=lease, seen_at=found, chain_seen_at=found)
+        self.seen[group] = SeenLease(
+            lease=lease,
+            seen_at=found,
+            chain_seen_at=found,
+            resumes_seen=self.resume_times(group, lease),
+        )
 
     def record(self, group, lease):
         """Record a lease as read from the store.
@@ -63,25 +78,51 @@
         if not lease.token:
             return
         known = self.seen.get(group)
+        resumes_seen = self.resume_times(group, lease)
         if known is None or lease.token > known.lease.token:
             now = self.clock()
             chain = known.chain_seen_at if self.unsettled(group) else now
-            self.seen[group] = SeenLease(lease=lease, seen_at=now, chain_seen_at=chain)
-        elif lease.token == known.lease.token and lease.settled:
-            self.seen[group] = replace(known, lease=lease)
+            self.seen[group] = SeenLease(
+                lease=lease, seen_at=now, chain_seen_at=chain, resumes_seen=resumes_seen
+            )
+        elif lease.token == known.lease.token and (
+            lease.settled or lease.revision > known.lease.revision
+        ):
+            self.seen[group] = replace(known, lease=lease, resumes_seen=resumes_seen)
+
+    def resume_times(self, group, lease):
+        """When each command to resume replication was first seen in a group's lease."""
+        known = self.seen.get(group)
+        before = known.resumes_seen if known else {}
+        return {key: before.get(key, self.clock()) for key in lease.resumes.items()}
+
+    def outstanding_resumes(self, group):
+        """Commands to resume replication that may be carried out late: `resumes`."""
+        known = self.seen.get(group)
+        if known is None:
+            return {}
+        oldest = self.clock() - RESUME_LIFETIME
+        return dict(key for key, at in known.resumes_seen.items() if at > oldest)
 
     def newest(self, group, seen):
         """The lease read from the store, or a known newer one that the store has lost.
 
         A lost lease is returned with the store's revision, because the next write is
         conditional on it. Its holder may still be active, so its age and its chain of
-        takeovers still count.
+        takeovers still count. The lease has only those `resumes` that may still take
+        effect.
         """
+        resumes = self.outstanding_resumes(group)
         known = self.seen.get(group)
         if known is None or known.lease.token <= seen.token:
-            return seen
+            return replace(seen, resumes=resumes)
         lost = known.lease
-        return replace(lost, revision=seen.revision, chain_start=lost.takeover_start)
+        return replace(
+            lost,
+            revision=seen.revision,
+            chain_start=lost.takeover_start,
+            resumes=resumes,
+        )
 
     def token(self, group):
         """The highest known token, 0 if there is none."""
--- a/packages/sessions/gypsum_sessions/takeover/replication.py
+++ b/packages/sessions/gypsum_sessions/takeover/replication.py
@@ -2,8 +2,13 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import StrEnum
 
-from gypsum_policy.promotion import choose_handover_target, may_lack_commits
+from gypsum_policy.promotion import (
+    choose_handover_target,
+    may_lack_commits,
+    pauses_suffice,
+)
 from gypsum_sessions.replies import UpstreamBusy, UpstreamError, UpstreamStatus
 from gypsum_sessions.statements import (
     RESUME_REPLICATION,
@@ -19,6 +24,14 @@
 COMMAND_ATTEMPTS = 2
 
 
+class CommandOutcome(StrEnum):
+    """What became of a command; an unanswered one may be carried out later."""
+
+    DONE = "done"
+    NOT_DONE = "not_done"
+    UNANSWERED = "unanswered"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PausedReplica:
     """A member whose replication is paused, with its status at that time.
@@ -36,7 +49,8 @@
     """Sends commands to one group's members and tracks which ones it has paused.
 
     `paused` maps upstream ids to the term for which they were paused. `unresponsive`
-    holds the ids that were last logged as not answering.
+    holds the ids that were last logged as not answering. `stepped_down` says that the
+    old primary confirmed in the last round that it leads no more.
     """
 
     def __init__(self, *, group, log):
@@ -45,6 +59,17 @@
         self.log = log
         self.paused = {}
         self.unresponsive = []
+        self.stepped_down = False
+
+    def resumable(self):
+        """The members that may receive again although they are paused, by id.
+
+        An earlier command to resume them may still be carried out. It has no effect
+        once the old primary has stepped down.
+        """
+        if self.stepped_down:
+            return set()
+        return set(self.context.lease_view.outstanding_resumes(self.group.name))
 
     async def pause_all(self, old_primary, *, step_down, led_recently=True):
         """Pause all replicas; their statuses, or None if one did not answer.
@@ -52,6 +77,7 @@
         `old_primary` is being replaced and need not answer. Unless it `led_recently`,
         it is asked first, and is paused like the others if it has become a replica.
         """
+        self.stepped_down = False
         others = [
             item for item in self.group.upstreams.values() if item.id != old_primary
         ]
@@ -75,10 +101,11 @@
             return None
         term = max(status.term for status in statuses) + 1
         if step_down and old_primary in self.group.upstreams:
-            await self.command(
+            status = await self.command(
                 self.group.upstreams[old_primary],
                 Statement(kind=StatementKind.STEP_DOWN, term=term),
             )
+            self.stepped_down = status is not None and not status.leads
             await asyncio.sleep(self.context.tuning.handover_pause)
         paused = await self.pause(others, term)
         if paused is None:
@@ -105,6 +132,7 @@
         If an earlier commit may lie with the primary and absent members alone, the
         target has to reach the primary's log.
         """
+        self.stepped_down = False
         others = [
             item for item in self.group.upstreams.values() if item.id != old_primary
         ]
@@ -119,9 +147,12 @@
             )
             for item, status in zip(others, known, strict=True)
         ]
-        chosen = pending or choose_handover_target(found)
-        if chosen not in {item.id for item in others}:
-            self.log("no handover: no suitable replica")
+        resumable, sync_replicas = self.resumable(), self.group.spec.sync_replicas
+        chosen = pending or choose_handover_target(found, resumable, sync_replicas)
+        if chosen not in {item.id for item in others} or not pauses_suffice(
+            chosen, resumable, sync_replicas
+        ):
+            self.log("no handover: no suitable replica", resumable=sorted(resumable))
             return None
         held = [item for item in others if item.id != chosen]
         term = max(status.term for status in known) + 1
@@ -236,10 +267,52 @@
             f"{reply.refusal} {reply.detail}", step="command", peer=item.id
         )
 
-    async def resume_all(self):
-        """Resume replication on all paused members; retain those that do not answer."""
-        for upstream in list(self.paused):
-            item = self.group.upstreams.get(upstream)
-            if item is None or await self.command(item, RESUME_REPLICATION):
-                del self.paused[upstream]
-                self.log("replication resumed", upstream=upstream)
+    async def resume_all(self, until):
+        """Resume replication on all paused members; retain those that do not answer.
+
+        No command is sent after `until`. Returns the ids of the members that left one
+        unanswered and may carry it out later.
+        """
+        upstreams = list(self.paused)
+        outcomes = await asyncio.gather(
+            *(self.resume(upstream, until) for upstream in upstreams)
+        )
+        return {
+            upstream
+            for upstream, found in zip(upstreams, outcomes, strict=True)
+            if CommandOutcome.UNANSWERED in found
+        }
+
+    async def resume(self, upstream, until):
+        """Resume replication on one member; the outcomes of all attempts."""
+        item = self.group.upstreams.get(upstream)
+        outcomes = []
+        while item is not None and len(outcomes) < COMMAND_ATTEMPTS:
+            outcomes.append(await self.resume_once(item, until))
+            if outcomes[-1] is CommandOutcome.DONE:
+                break
+        if item is None or CommandOutcome.DONE in outcomes:
+            del self.paused[upstream]
+            self.log("replication resumed", upstream=upstream, attempts=len(outcomes))
+        return outcomes
+
+    async def resume_once(self, item, until):
+        """Send the command to resume once, unless it is too late."""
+        outcome = CommandOutcome.NOT_DONE
+        try:
+            async with borrow_connection(self.context, item, urgent=True) as conn:
+                if self.context.clock() >= until:
+                    return outcome
+                outcome = CommandOutcome.UNANSWERED
+                reply = await conn.ask(
+                    RESUME_REPLICATION, timeout=self.context.tuning.command_timeout
+                )
+        except UpstreamError as exc:
+            self.log(
+                "command failed",
+                upstream=item.id,
+                command=str(RESUME_REPLICATION.kind),
+                error=str(exc),
+            )
+            return outcome
+        return CommandOutcome.DONE if reply.ok else CommandOutcome.NOT_DONE
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -369,6 +369,25 @@
     with_store(main)
 
 
+def test_late_commands_stay_in_the_lease_under_its_next_holder():
+    """Guards against a takeover that relies on a pause which a late command may end."""
+
+    async def main(object_store, client):
+        leases = StoreLeases(store=client)
+        mine = await leases.acquire("g", "d1", await leases.read("g"))
+        resuming = replace(mine, resumes={"u2": 1})
+        noted = await leases.update("g", resuming)
+        assert await leases.update("g", resuming) is None
+        assert noted.resumes == {"u2": 1}
+        settled = await leases.settle("g", noted)
+        assert settled.settled and settled.resumes == {"u2": 1}
+        taken = await leases.acquire("g", "d2", settled)
+        assert (taken.token, taken.resumes) == (2, {"u2": 1})
+        assert await leases.read("g") == taken
+
+    with_store(main)
+
+
 def test_recorded_members_are_loaded_only_from_the_first_list():
     async def main(object_store, client):
         records = StoreRecords(store=client, kind="gypsumhitch")
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -54,7 +54,9 @@
     no answer with `hangs`. `arrivals`, `turned_away`: callers' statements, and those
     of them that it refused without running them. `status_work`: seconds that a query
     for its status takes; `status_queries` counts them. `refuses_shapes`: it refuses to
-    prepare any shape. `executed`: the (request, shape, access) of executed statements.
+    prepare any shape. `lose_resumes`: how many of the next commands to resume
+    replication it leaves unanswered and does not carry out. `executed`: the (request,
+    shape, access) of executed statements.
     """
 
     id: str
@@ -79,6 +81,7 @@
     status_work: float = 0.0
     status_queries: int = 0
     refuses_shapes: bool = False
+    lose_resumes: int = 0
     executed: list = field(default_factory=list)
     arrivals: int = 0
     turned_away: int = 0
@@ -408,7 +411,11 @@
                     member.paused = statement.term
                 return self.status()
             case StatementKind.RESUME_REPLICATION:
-                member.paused = 0
+                if member.lose_resumes:
+                    member.lose_resumes -= 1
+                    self.silent = True
+                else:
+                    member.paused = 0
                 return self.status()
             case StatementKind.STEP_DOWN:
                 if member.leads and statement.term > member.group.term:
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -72,6 +72,7 @@
             token=seen.token + 1,
             revision=self.group.next_revision(),
             chain_start=seen.next_chain_start,
+            resumes=seen.resumes,
         )
         self.notify_views()
         if self.lose_answers:
@@ -81,14 +82,17 @@
 
     async def settle(self, group, lease):
         """Mark a lease as settled if it has not changed meanwhile."""
+        return await self.update(group, replace(lease, settled=True))
+
+    async def update(self, group, lease):
+        """Write a lease's fields if it has not changed meanwhile."""
         self.calls += 1
         await asyncio.sleep(0.004)
         if self.down:
-            raise LeaseError("down", step="settle", peer=group)
+            raise LeaseError("down", step="update", peer=group)
         if lease.revision != self.lease.revision:
             return None
-        revision = self.group.next_revision()
-        self.lease = replace(lease, settled=True, revision=revision)
+        self.lease = replace(lease, revision=self.group.next_revision())
         self.notify_views()
         return self.lease
 
