Replicas stay paused until orders that the platform has accepted have taken effect

Cause, in two places: the answer to a confirmed primary means that the platform refuses earlier orders from then on, not that one which it has accepted is revoked; and an attempt could order at any time of its twelve seconds under a lease that others count as abandoned after four.

Ruled out: an order that passed the fence late (both orders were answered at once, with rising tokens), and a pause that ended by a restart (no upstream restarted after them).

Change: an accepted order counts as outstanding for 1.5 s (a promotion takes up to one). Until then replicas are not resumed and the lease is not settled, in the same way after a promotion while an earlier order for another member may have been accepted. A lease older than a second is taken anew, if nobody else has it, before a promotion is ordered. Right before the primary is confirmed it has to prove once more that it leads: otherwise the call would replace a newer one.

--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -82,7 +82,11 @@
         self.lease = None
         self.replication = ReplicationControl(group=group, log=self.log)
         self.pending_order = ""
-        self.orders = OutstandingOrders()
+        self.orders = OutstandingOrders(
+            clock=self.context.clock,
+            effect_time=self.context.tuning.promotion_effect_time,
+        )
+        self.lease_taken_at = float("-inf")
         # Absent members that a takeover waits for, and those it no longer waits for.
         self.waiting_for = []
         self.given_up = []
@@ -182,13 +186,14 @@
         Orders of a holder before us may be carried out until the platform has seen a
         token of ours, which an attempt that promoted nobody never showed it.
         """
+        leader = self.group.watch.leader
+        if leader and self.orders.may_be_carried_out(leader):
+            if not self.superseded():
+                await self.finish_abandoned_takeover()
+            return
+        if leader:
+            await self.wait_for_effects(leader)
         await self.settle()
-        if (
-            self.group.watch.leader
-            and self.orders.may_take_effect(self.group.watch.leader)
-            and not self.superseded()
-        ):
-            await self.finish_abandoned_takeover()
 
     async def settle(self):
         """Mark our lease as settled unless an order may still take effect."""
@@ -200,6 +205,7 @@
                 token=self.lease.token,
                 unanswered=sorted(self.orders.unanswered),
                 inherited=self.orders.inherited,
+                accepted=sorted(self.orders.accepted()),
             )
             return
         lease = await self.leases.settle(self.group.name, self.lease)
@@ -320,12 +326,19 @@
             self.log("left to its holder", reason=reason, holder=seen.holder)
             self.backoff_until = self.context.clock() + tuning.lease_retry_delay
             return False
+        return await self.take_lease(seen, reason)
+
+    async def take_lease(self, seen, reason):
+        """Replace the lease `seen` by ours; return whether it had not changed."""
+        name, tuning = self.group.name, self.context.tuning
+        asked_at = self.context.clock()
         lease = await self.leases.acquire(name, self.daemon, seen)
         if lease is None:
             self.log("lease taken by another", reason=reason)
             self.backoff_until = self.context.clock() + tuning.lease_retry_delay
             return False
         self.lease = lease
+        self.lease_taken_at = asked_at
         self.lease_view.record(name, lease)
         self.orders.lease_taken(seen, lease)
         self.log(
@@ -337,6 +350,20 @@
         )
         return True
 
+    async def renew_lease(self):
+        """Take our lease again if it is old; False if another daemon has taken it.
+
+        Other daemons finish a takeover whose lease is old. An order has to be sent
+        early enough in a lease's time to have taken effect by then.
+        """
+        age = self.context.clock() - self.lease_taken_at
+        if age < self.context.tuning.lease_order_window:
+            return True
+        if self.superseded():
+            return False
+        resumes = self.lease_view.outstanding_resumes(self.group.name)
+        return await self.take_lease(replace(self.lease, resumes=resumes), "renewed")
+
     async def run_round(self, reason, old_primary):
         """Run one round of an attempt; return whether the attempt is over.
 
@@ -345,6 +372,8 @@
         candidate = await self.choose_candidate(reason, old_primary)
         if not candidate:
             return False
+        if not await self.renew_lease():
+            return True
         outcome = await self.order_promotion(candidate)
         self.log("promotion ordered", upstream=candidate, outcome=str(outcome))
         self.pending_order = candidate if outcome is PromoteOutcome.UNANSWERED else ""
@@ -425,7 +454,7 @@
         )
 
     def record_outcome(self, upstream, outcome):
-        """Keep track of orders that may still be carried out.
+        """Keep track of orders that may still take effect.
 
         An accepted order proves that the platform has seen our token, so it refuses
         earlier orders from then on. A refusal proves nothing: the upstream may just not
@@ -434,7 +463,7 @@
         if outcome is PromoteOutcome.UNANSWERED:
             self.orders.order_unanswered(upstream)
         elif outcome is PromoteOutcome.ACCEPTED:
-            self.orders.order_accepted()
+            self.orders.order_accepted(upstream)
 
     def may_lack_commits_without(self, primary):
         """Return whether only the primary and absent members may have a commit.
@@ -543,8 +572,12 @@
             self.log("replicas left paused: another daemon took over")
             self.replication.paused.clear()
             return
+        if not self.group.watch.leader or not await self.acquire_lease(Reason.RESUME):
+            return
+        # Unless it still leads, the order would replace the present primary.
+        await self.group.watch.wait_proof(self.context.tuning.ping_timeout)
         leader = self.group.watch.leader
-        if not leader or not await self.acquire_lease(Reason.RESUME):
+        if not leader:
             return
         outcome = await self.order_promotion(leader)
         self.log("primary confirmed", upstream=leader, outcome=str(outcome))
@@ -554,9 +587,26 @@
                 self.context.clock() + self.context.tuning.lease_retry_delay
             )
             return
-        await self.resume_replicas()
+        if await self.wait_for_effects(leader):
+            await self.resume_replicas()
         await self.settle()
 
+    async def wait_for_effects(self, leader):
+        """Wait until no other order can take effect; return whether a member leads.
+
+        The platform may have accepted one just before it saw our token, and the pauses
+        are needed until it has taken effect. A promotion ends them itself.
+        """
+        while self.orders.may_take_effect(leader):
+            if self.superseded() or not self.group.watch.leader:
+                return False
+            await asyncio.sleep(ROUND_INTERVAL)
+        found = self.group.watch.leader
+        if found and found != leader:
+            self.log("an earlier order took effect", upstream=found, before=leader)
+            self.replication.paused.clear()
+        return found == leader
+
     async def resume_replicas(self):
         """Resume the paused replicas, which the lease names beforehand.
 
--- a/packages/sessions/gypsum_sessions/tuning.py
+++ b/packages/sessions/gypsum_sessions/tuning.py
@@ -72,6 +72,12 @@
     lease_retry_delay: float = 0.5
     # An accepted promotion takes effect within the platform's time plus a margin.
     promotion_timeout: float = 3.0
+    # An order that the platform has accepted can take effect for this long: it takes a
+    # second at most.
+    promotion_effect_time: float = 1.5
+    # A promotion is ordered within this time after its lease was taken, so that it has
+    # taken effect before another daemon may take the lease over (lease_min_age).
+    lease_order_window: float = 1.0
     # An unanswered promotion order is looked for this much longer than the call took.
     unanswered_promotion_wait: float = 0.2
     # Commands to upstreams: one round trip and a slot.
