A replica is trusted over connections that were open before the last known takeover

A replica that it had paused restarted and received again, the old primary committed through it, the daemon dialled it anew and took its word; then another member led without these commits.

Cause: a connection counted as evidence if no unsettled takeover was known that had begun before it was opened, however old that knowledge was. A watch that has gone silent is noticed after up to five seconds. The same gap was there for milliseconds in every daemon: between the lease's being taken and its being heard of.

Ruled out: a commit that the other daemons confirmed (only the cut daemon's clients got COMPLETE for what was lost), and an old connection that outlived the restart (the crash aborts all of them; the first lost commit was acknowledged 20 ms after it).

Change: a connection counts only if the store is known to have had no takeover under way at some time after it was opened. The watch of the leases tells that every few seconds; for a newer connection the one lease is read, beside the query to the replica, one call for all commits that wait. What other watchers pass on does not count, as it may have been on its way for seconds. If the store does not answer, and all connections to replicas are newer, writes are refused at once instead of ending in doubt.

--- a/packages/sessions/gypsum_sessions/execution/confirm.py
+++ b/packages/sessions/gypsum_sessions/execution/confirm.py
@@ -72,14 +72,28 @@
             return False
         await asyncio.sleep(group.context.tuning.confirm_apply_wait)
     replicas = known_replicas(group, leader)
-    if any(item.reachable for item in replicas):
-        return True
+    reachable = [item for item in replicas if item.reachable]
+    if reachable:
+        return lease_can_be_known(group, reachable)
     found = await gather_evidence(
         group, replicas, lambda item: ask_one(group, item, None, ask_alive)
     )
     return Evidence.HELD in found.values()
 
 
+def lease_can_be_known(group, replicas):
+    """Return whether one replica will be trusted when a commit is to be confirmed.
+
+    If all connections are newer than what is known of the lease, the store is asked
+    now. The commit would be in doubt if it did not answer.
+    """
+    view, reader = group.context.lease_view, group.context.lease_reader
+    opened = [item.pool.oldest_opened_at() for item in replicas]
+    if all(at is not None and view.must_read(group.name, at) for at in opened):
+        return reader.request(group.name)
+    return True
+
+
 def has_replicas(group, leader):
     """Return whether any other member is listed, or was until a moment ago."""
     return any(name != leader for name in group.upstreams)
@@ -235,13 +249,13 @@
             prefer_oldest=True,
         )
         try:
-            if not context.lease_view.connection_trusted(group.name, pooled.opened_at):
+            if not may_be_trusted(group, pooled):
                 return Evidence.UNKNOWN
             evidence = await query(item, pooled.conn, position, context.tuning)
         finally:
             item.pool.release(pooled)
         item.record_response(context.clock())
-        return evidence
+        return evidence if await is_trusted(group, pooled) else Evidence.UNKNOWN
     except UpstreamError as exc:
         item.unreachable = item.unreachable or not is_connection_shortage(exc)
         item.record_failure(exc, context.clock(), context.tuning)
@@ -249,6 +263,25 @@
         return Evidence.UNKNOWN
 
 
+def may_be_trusted(group, pooled):
+    """Return whether a replica may turn out to confirm commits over a connection.
+
+    If the connection is newer than what is known of the group's lease, the store is
+    asked meanwhile.
+    """
+    view, reader = group.context.lease_view, group.context.lease_reader
+    if view.must_read(group.name, pooled.opened_at):
+        return reader.request(group.name)
+    return view.connection_trusted(group.name, pooled.opened_at)
+
+
+async def is_trusted(group, pooled):
+    """Return whether an answer over a connection counts; waits for the lease."""
+    view, reader = group.context.lease_view, group.context.lease_reader
+    await reader.read(group.name, pooled.opened_at)
+    return view.connection_trusted(group.name, pooled.opened_at)
+
+
 async def ask_alive(item, conn, position, tuning):
     """Whether a replica answers at all."""
     await conn.ask(ROLLBACK, timeout=tuning.ping_timeout)
@@ -293,10 +326,10 @@
     """Ask a replica for its status; None if it gives none."""
     statuses = []
     try:
-        await ask_one(group, item, statuses, ask_status)
+        found = await ask_one(group, item, statuses, ask_status)
     finally:
         item.status_query = None
-    return statuses[0] if statuses else None
+    return statuses[0] if found is Evidence.HELD else None
 
 
 async def ask_status(item, conn, statuses, tuning):
--- a/packages/sessions/gypsum_sessions/proxy.py
+++ b/packages/sessions/gypsum_sessions/proxy.py
@@ -18,6 +18,7 @@
 from gypsum_sessions.execution.confirm import have_copies
 from gypsum_sessions.interfaces import LeaseError
 from gypsum_sessions.replies import Refusal, SessionState, UpstreamRefused
+from gypsum_sessions.takeover.lease_reader import LeaseReader
 from gypsum_sessions.takeover.lease_view import LeaseView
 from gypsum_sessions.upstreams.group import GroupContext
 from gypsum_sessions.upstreams.hosting import HostedGroups
@@ -116,6 +117,13 @@
             catalog=self.catalog,
             daemons=self.daemons,
             lease_view=self.lease_view,
+            lease_reader=LeaseReader(
+                leases=leases,
+                lease_view=self.lease_view,
+                clock=clock,
+                patience=tuning.confirm_apply_wait,
+                log=log,
+            ),
             recorder=self.recorder,
         )
         self.peers = Peers(dialer=links, daemons=self.daemons, clock=clock, log=log)
@@ -441,7 +449,7 @@
             behind = behind + 1 if 0 <= self.lease_view.known_revision < newest else 0
             if behind < STALE_LEASE_CHECKS:
                 continue
-            behind = 0
+            behind, asked_at = 0, self.clock()
             try:
                 leases, revision = await self.leases.read_all()
             except LeaseError as exc:
@@ -451,6 +459,7 @@
             for group, lease in leases.items():
                 self.lease_view.record(group, lease)
             self.lease_view.record_revision(revision)
+            self.lease_view.record_confirmed(asked_at)
 
     async def record_members(self):
         """Periodically save the groups' members to the store."""
--- a/packages/sessions/gypsum_sessions/takeover/lease_view.py
+++ b/packages/sessions/gypsum_sessions/takeover/lease_view.py
@@ -21,14 +21,14 @@
 class SeenLease:
     """A lease and the time at which this daemon first saw it, on its own clock.
 
-    `chain_seen_at` is the time at which this daemon first saw any lease of the chain:
-    the sequence of unsettled leases that ends with this one. `resumes_seen` has the
-    times at which each entry of the lease's `resumes` was first seen.
+    `settled_at` is the last time at which the store is known to have had no lease of
+    the chain: the sequence of unsettled leases that ends with this one. `resumes_seen`
+    has the times at which each entry of the lease's `resumes` was first seen.
     """
 
     lease: PromotionLease
     seen_at: float
-    chain_seen_at: float
+    settled_at: float
     resumes_seen: dict[tuple[str, int], float] = field(default_factory=dict)
 
 
@@ -42,7 +42,8 @@
 
     `takeover_window` is how long a takeover may be under way, seconds.
     `known_revision` is the store's revision up to which all leases are known, -1 before
-    the first.
+    the first. `confirmed_at` is the last time at which the store is known to have had
+    no later leases, `read_at` the same for single groups.
     """
 
     def __init__(self, *, clock, takeover_window):
@@ -50,11 +51,32 @@
         self.takeover_window = takeover_window
         self.seen = {}
         self.known_revision = -1
+        self.confirmed_at = float("-inf")
+        self.read_at = {}
 
     def record_revision(self, revision):
         """Note that all leases up to a revision of the store are known."""
         self.known_revision = max(self.known_revision, revision)
 
+    def record_confirmed(self, at):
+        """Note that the store had no other leases than the known ones at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def record_read(self, group, lease, asked_at):
+        """Record a lease that was asked for at a time; it may have been taken since."""
+        self.record(group, lease)
+        self.read_at[group] = max(self.group_confirmed_at(group), asked_at)
+
+    def group_confirmed_at(self, group):
+        """The last time at which the store had no later lease of a group, as known."""
+        return max(self.confirmed_at, self.read_at.get(group, float("-inf")))
+
+    def settled_at(self, group):
+        """The last time at which no takeover of a group was under way, as is known."""
+        if self.unsettled(group):
+            return self.seen[group].settled_at
+        return self.group_confirmed_at(group)
+
     def record_initial(self, group, lease):
         """Record a lease that was found when the process started.
 
@@ -65,7 +87,7 @@
         self.seen[group] = SeenLease(
             lease=lease,
             seen_at=found,
-            chain_seen_at=found,
+            settled_at=float("-inf"),
             resumes_seen=self.resume_times(group, lease),
         )
 
@@ -80,10 +102,11 @@
         known = self.seen.get(group)
         resumes_seen = self.resume_times(group, lease)
         if known is None or lease.token > known.lease.token:
-            now = self.clock()
-            chain = known.chain_seen_at if self.unsettled(group) else now
             self.seen[group] = SeenLease(
-                lease=lease, seen_at=now, chain_seen_at=chain, resumes_seen=resumes_seen
+                lease=lease,
+                seen_at=self.clock(),
+                settled_at=self.settled_at(group),
+                resumes_seen=resumes_seen,
             )
         elif lease.token == known.lease.token and (
             lease.settled or lease.revision > known.lease.revision
@@ -157,10 +180,15 @@
 
         A replica that a takeover has paused may restart, which ends the pause, and then
         receive and confirm a commit of the old primary while the takeover promotes
-        another member. A restart closes all connections, so a connection opened before
-        the takeover began proves that the replica has not restarted since.
+        another member. A restart closes all connections. So a connection proves that
+        the replica has not restarted in a takeover, if none was under way at some time
+        after it was opened. What this daemon has heard of last may be seconds old.
         """
-        return not self.unsettled(group) or opened_at < self.seen[group].chain_seen_at
+        return opened_at <= self.settled_at(group)
+
+    def must_read(self, group, opened_at):
+        """Return whether a connection is trusted once the store shows no takeover."""
+        return not self.unsettled(group) and opened_at > self.group_confirmed_at(group)
 
     def age(self, group):
         """Seconds since this daemon saw the lease change; infinite if none is known."""
--- a/packages/sessions/gypsum_sessions/upstreams/group.py
+++ b/packages/sessions/gypsum_sessions/upstreams/group.py
@@ -21,6 +21,7 @@
 from gypsum_sessions.interfaces import Clock, Dialer, EventLog
 from gypsum_sessions.takeover.floors import Floors
 from gypsum_sessions.takeover.leader import LeaderWatch
+from gypsum_sessions.takeover.lease_reader import LeaseReader
 from gypsum_sessions.takeover.lease_view import LeaseView
 from gypsum_sessions.takeover.stall import WriteStallDetector
 from gypsum_sessions.tuning import SessionTuning
@@ -49,6 +50,7 @@
     domain: str
     daemons: DaemonRegistry
     lease_view: LeaseView
+    lease_reader: LeaseReader
     drain_seconds: float
     started_at: float
     catalog: Catalog
--- a/packages/sessions/gypsum_sessions/upstreams/pool.py
+++ b/packages/sessions/gypsum_sessions/upstreams/pool.py
@@ -166,6 +166,13 @@
         """Number of connections in use."""
         return len(self.checked_out)
 
+    def oldest_opened_at(self):
+        """When the oldest open connection was opened; None if there is none."""
+        opened = [
+            item.opened_at for item in (*self.idle, *self.checked_out) if item.alive
+        ]
+        return min(opened, default=None)
+
     def may_free_soon(self):
         """Return whether a connection is in use outside of a transaction.
 
--- a/tests/sessions/test_confirm.py
+++ b/tests/sessions/test_confirm.py
@@ -10,6 +10,7 @@
 from tests.sessions.fakegroup import FakeMember
 from tests.sessions.rig import Rig
 from tests.sessions.vclock import run
+from tests.sessions.writers import check_nothing_lost, write_for
 
 
 async def make_settled_rig():
@@ -307,3 +308,73 @@
         assert (await rig.caller("own").send("WRITE a 2")).ok
 
     run(main())
+
+
+def test_a_daemon_that_hears_nothing_of_the_store_trusts_no_new_connection():
+    """Guards against a commit through a replica that has restarted in a takeover.
+
+    A daemon has not heard of the takeover, as it is cut off from the store. The paused
+    replica restarts, receives again, and the old primary commits through it before the
+    takeover's promotion takes effect.
+    """
+
+    async def main():
+        rig = Rig(daemons=2)
+        await rig.settle()
+        await asyncio.sleep(1.0)
+        deaf = rig.proxies[1]
+        rig.cut_from_leases(deaf)
+        for name in ("u2", "u3"):
+            rig.group[name].paused = rig.group.term + 1
+        results = []
+        writing = asyncio.create_task(write_for(rig, deaf, 4.0, results))
+        lease = await rig.leases.acquire("db", "d9", rig.leases.lease)
+        await rig.promoter.promote("db", "u3", "d9", lease.token)
+        rig.group["u2"].crash()
+        await asyncio.sleep(0.05)
+        rig.group["u2"].restart()
+        await writing
+        assert [name for name, _ in rig.group.promotions] == ["u3"]
+        check_nothing_lost(rig, results)
+
+    run(main())
+
+
+def test_connections_opened_after_the_last_news_confirm_once_the_store_is_asked():
+    """Guards against commits in doubt for the seconds until the next watch ends."""
+
+    async def main():
+        rig = await make_settled_rig()
+        rig.stop_watch(rig.proxy)
+        for name in ("u2", "u3"):
+            rig.group[name].crash()
+            rig.group[name].restart()
+        await asyncio.sleep(1.0)
+        assert (await rig.caller("own").send("WRITE a 1")).ok
+        assert (await rig.caller("own").send("WRITE a 2")).ok
+
+    run(main())
+
+
+def test_writes_that_no_trusted_replica_could_confirm_are_refused():
+    """Guards against writes in doubt while a daemon is cut off from the store.
+
+    All its connections to replicas were reset after it had last heard of the leases.
+    """
+
+    async def main():
+        rig = await make_settled_rig()
+        rig.cut_from_leases(rig.proxy)
+        for name in ("u2", "u3"):
+            rig.group[name].crash()
+            rig.group[name].restart()
+        await asyncio.sleep(1.0)
+        await rig.caller("own").send("WRITE first 1")
+        runs = rig.group["u1"].runs
+        for _ in range(3):
+            await asyncio.sleep(0.05)
+            reply = await rig.caller("own").send("WRITE a 1")
+            assert reply.refusal is Refusal.BUSY
+        assert rig.group["u1"].runs == runs
+
+    run(main())
--- a/tests/sessions/test_lease_view.py
+++ b/tests/sessions/test_lease_view.py
@@ -95,6 +95,7 @@
 
 def test_a_connection_opened_after_a_takeover_began_is_no_proof():
     view, clock = make_view()
+    view.record_confirmed(clock.now)
     assert view.connection_trusted("g", clock.now)
     view.record("g", lease(1, 20))
     clock.now += 1.0
@@ -102,4 +103,26 @@
     assert view.connection_trusted("g", 49.9)
     assert not view.connection_trusted("g", 50.5)
     view.record("g", lease(2, 40, settled=True, chain=20))
+    assert not view.connection_trusted("g", 50.5)
+    view.record_confirmed(clock.now)
     assert view.connection_trusted("g", clock.now)
+
+
+def test_a_connection_is_no_proof_before_the_lease_is_known_to_be_settled_after_it():
+    """Guards against trusting a replica that has restarted in a takeover not heard of.
+
+    A daemon that is cut off from the store knows of no takeover, however long ago it
+    last heard of the leases.
+    """
+    view, clock = make_view()
+    view.record_confirmed(clock.now)
+    clock.now += 2.0
+    opened_at = clock.now
+    assert not view.connection_trusted("g", opened_at)
+    assert view.must_read("g", opened_at)
+    view.record_read("g", lease(1, 20), opened_at + 0.1)
+    assert not view.connection_trusted("g", opened_at)
+    assert not view.must_read("g", opened_at)
+    view.record_read("g", lease(1, 30, settled=True), opened_at + 0.2)
+    assert view.connection_trusted("g", opened_at)
+    assert not view.connection_trusted("other", opened_at)
