Random runs disturb what takeovers rely on

Late commands to resume replication, daemons that hear of no lease, replicas that restart at once, holders that die, primaries that leave, late orders: a set of faults of its own.

--- a/tests/sessions/chaos.py
+++ b/tests/sessions/chaos.py
@@ -208,6 +208,25 @@
     "cut_daemon_path",
     "kill_daemon",
 )
+# What takeovers rely on: late commands to resume, daemons that hear of no lease, paused
+# replicas that restart at once, holders that die.
+TAKEOVER_FAULTS = (
+    "unresponsive",
+    "partition_primary",
+    "remove_member",
+    "delay_promotion",
+    "delay_promotion",
+    "late_resumes",
+    "late_resumes",
+    "cut_from_leases",
+    "cut_from_leases",
+    "restart_at_once",
+    "restart_at_once",
+    "crash",
+    "restart_daemon",
+    "freeze_daemon",
+    "join",
+)
 # Also callers with keys, one of which is withdrawn and restored.
 KEY_FAULTS = (*OWNER_FAULTS, "withdraw_key", "withdraw_key")
 LASTING_KEY = "key-north"
@@ -391,6 +410,26 @@
         for replica in self.rig.group.replicas():
             replica.paused = self.rig.group.term + 1
 
+    def late_resumes(self):
+        """A member carries out its next commands to resume seconds late."""
+        member = self.any_member()
+        member.lose_resumes = self.rng.randint(1, 2)
+        member.resume_delay = 2.0 + self.rng.random() * 10
+
+    def cut_from_leases(self):
+        """A daemon hears of no lease for a while, without noticing."""
+        proxy = self.rng.choice(self.rig.proxies)
+        self.rig.cut_from_leases(proxy)
+        return lambda: self.rig.restore_leases(proxy)
+
+    def restart_at_once(self):
+        """A replica crashes and is back with its log a moment later."""
+        member = self.rng.choice(self.rig.group.replicas() or self.rig.group.members)
+        if member.dead:
+            return
+        member.crash()
+        asyncio.get_running_loop().call_later(0.1, member.restart)
+
     def unlist_members(self):
         """All entries but one vanish for 1.5 s although their members are alive."""
         members = self.rig.group.members
@@ -522,7 +561,7 @@
             proxy.update_members(rig.group.listing())
             if "db" in rig.records.saved:
                 proxy.recorder.set_recorded("db", rig.records.saved["db"])
-            if not rig.leases.down:
+            if not rig.leases.down and proxy.lease_view not in rig.leases.deaf:
                 rig.catch_up(proxy)
 
 
@@ -589,12 +628,13 @@
     rig.leases.down, rig.leases.lose_answers = False, 0
     for member in rig.group.members:
         member.unresponsive = member.not_receiving = member.dead = False
-        member.lose_answers = 0
+        member.lose_answers = member.lose_resumes = 0
         member.limit = 100
         member.work = 0.02
         member.cut_from.clear()
     rig.version += 1
     for proxy in rig.proxies:
+        rig.restore_leases(proxy)
         proxy.context.dialer.dialer.cut.clear()
         proxy.update_members(rig.group.listing())
         if rig.keys:
--- a/tests/sessions/fakegroup.py
+++ b/tests/sessions/fakegroup.py
@@ -55,8 +55,8 @@
     of them that it refused without running them. `status_work`: seconds that a query
     for its status takes; `status_queries` counts them. `refuses_shapes`: it refuses to
     prepare any shape. `lose_resumes`: how many of the next commands to resume
-    replication it leaves unanswered and does not carry out. `executed`: the (request,
-    shape, access) of executed statements.
+    replication it leaves unanswered; it carries them out after `resume_delay` seconds,
+    never if that is 0. `executed`: the (request, shape, access) of executed statements.
     """
 
     id: str
@@ -82,6 +82,7 @@
     status_queries: int = 0
     refuses_shapes: bool = False
     lose_resumes: int = 0
+    resume_delay: float = 0.0
     executed: list = field(default_factory=list)
     arrivals: int = 0
     turned_away: int = 0
@@ -414,6 +415,10 @@
                 if member.lose_resumes:
                     member.lose_resumes -= 1
                     self.silent = True
+                    if member.resume_delay:
+                        self.loop.call_later(
+                            member.resume_delay, setattr, member, "paused", 0
+                        )
                 else:
                     member.paused = 0
                 return self.status()
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -337,6 +337,12 @@
         self.stop_watch(proxy)
         proxy.context.lease_reader.leases = UnreachableLeases()
 
+    def restore_leases(self, proxy):
+        """End what `cut_from_leases` has begun."""
+        self.leases.deaf.discard(proxy.lease_view)
+        proxy.context.lease_reader.leases = self.leases
+        self.catch_up(proxy)
+
     def log(self, part, event, **fields):
         """Record an event; its fields must not override those that every line has."""
         assert not fields.keys() & {"time", "daemon"}, (part, event, fields)
--- a/tests/sessions/test_chaos.py
+++ b/tests/sessions/test_chaos.py
@@ -18,6 +18,7 @@
     KEYS,
     OWNER_FAULTS,
     SLOW_FAULTS,
+    TAKEOVER_FAULTS,
     broken_promises,
 )
 
@@ -75,6 +76,11 @@
     assert broken_promises(seed, DEPARTED_FAULTS, recorded=True) == []
 
 
+@pytest.mark.parametrize("seed", range(COUNT))
+def test_no_guarantee_is_violated_while_takeovers_are_disturbed(seed):
+    assert broken_promises(seed, TAKEOVER_FAULTS, recorded=True) == []
+
+
 # Six daemons, of which three own the group: nine connections are too few for all.
 OWNERS = {"daemons": 6, "max_connections": 9}
 
