Takeovers: one log line while pauses can't be relied on; plainer names in tests

Two places that logged a failed command share one function. Tests speak of a watch that has stopped instead of a deaf daemon, and share the restart of all replicas.

The rig counts all calls of takeovers for the leases again, reads included, as before; reads that confirm commits go another way and are not counted.

--- a/packages/sessions/gypsum_sessions/takeover/attempt.py
+++ b/packages/sessions/gypsum_sessions/takeover/attempt.py
@@ -426,9 +426,10 @@
         candidate = choose_promotion_target(
             paused, self.pending_order, resumable, self.group.spec.sync_replicas
         )
-        self.pauses_unreliable = not candidate
+        known, self.pauses_unreliable = self.pauses_unreliable, not candidate
         if not candidate:
-            self.log("waiting: replicas may resume", resumable=sorted(resumable))
+            if not known:
+                self.log("waiting: replicas may resume", resumable=sorted(resumable))
             return ""
         if await self.must_wait_for_absent(paused):
             return ""
--- a/packages/sessions/gypsum_sessions/takeover/lease_view.py
+++ b/packages/sessions/gypsum_sessions/takeover/lease_view.py
@@ -182,7 +182,7 @@
         receive and confirm a commit of the old primary while the takeover promotes
         another member. A restart closes all connections. So a connection proves that
         the replica has not restarted in a takeover, if none was under way at some time
-        after it was opened. What this daemon has heard of last may be seconds old.
+        after it was opened. What this daemon knows of the leases may be seconds old.
         """
         return opened_at <= self.settled_at(group)
 
--- a/packages/sessions/gypsum_sessions/takeover/replication.py
+++ b/packages/sessions/gypsum_sessions/takeover/replication.py
@@ -244,14 +244,18 @@
             try:
                 return await self.command_once(item, statement)
             except UpstreamError as exc:
-                self.log(
-                    "command failed",
-                    upstream=item.id,
-                    command=str(statement.kind),
-                    error=str(exc),
-                )
+                self.log_failure(item, statement, exc)
         return None
 
+    def log_failure(self, item, statement, exc):
+        """Log a command that got no usable answer."""
+        self.log(
+            "command failed",
+            upstream=item.id,
+            command=str(statement.kind),
+            error=str(exc),
+        )
+
     async def command_once(self, item, statement):
         """Send a command once; its status afterwards.
 
@@ -308,11 +312,6 @@
                     RESUME_REPLICATION, timeout=self.context.tuning.command_timeout
                 )
         except UpstreamError as exc:
-            self.log(
-                "command failed",
-                upstream=item.id,
-                command=str(RESUME_REPLICATION.kind),
-                error=str(exc),
-            )
+            self.log_failure(item, RESUME_REPLICATION, exc)
             return outcome
         return CommandOutcome.DONE if reply.ok else CommandOutcome.NOT_DONE
--- a/tests/sessions/chaos.py
+++ b/tests/sessions/chaos.py
@@ -208,8 +208,8 @@
     "cut_daemon_path",
     "kill_daemon",
 )
-# What takeovers rely on: late commands to resume, daemons that hear of no lease, paused
-# replicas that restart at once, holders that die.
+# What takeovers rely on: late commands to resume, watches of the leases that stop,
+# paused replicas that restart at once, holders that die.
 TAKEOVER_FAULTS = (
     "unresponsive",
     "partition_primary",
@@ -417,7 +417,7 @@
         member.resume_delay = 2.0 + self.rng.random() * 10
 
     def cut_from_leases(self):
-        """A daemon hears of no lease for a while, without noticing."""
+        """A daemon is cut off from the leases for a while, without notice."""
         proxy = self.rng.choice(self.rig.proxies)
         self.rig.cut_from_leases(proxy)
         return lambda: self.rig.restore_leases(proxy)
@@ -561,7 +561,7 @@
             proxy.update_members(rig.group.listing())
             if "db" in rig.records.saved:
                 proxy.recorder.set_recorded("db", rig.records.saved["db"])
-            if not rig.leases.down and proxy.lease_view not in rig.leases.deaf:
+            if not rig.leases.down and proxy.lease_view not in rig.leases.stopped:
                 rig.catch_up(proxy)
 
 
--- a/tests/sessions/rig.py
+++ b/tests/sessions/rig.py
@@ -31,7 +31,7 @@
     """Promotion leases of a fake store.
 
     `down` makes every call fail; the next `lose_answers` acquisitions succeed without
-    an answer. `calls` counts those that write. Views in `deaf` hear of no lease.
+    an answer. `calls` counts those of takeovers. Views in `stopped` are not notified.
     """
 
     def __init__(self, *, group):
@@ -41,11 +41,11 @@
         self.lose_answers = 0
         self.calls = 0
         self.lease_views = []
-        self.deaf = set()
+        self.stopped = set()
 
     def listening_views(self):
         """The views of the daemons whose watch works."""
-        return [view for view in self.lease_views if view not in self.deaf]
+        return [view for view in self.lease_views if view not in self.stopped]
 
     def notify_views(self):
         """Deliver the lease to the watches of all daemons."""
@@ -55,6 +55,11 @@
 
     async def read(self, group):
         """Read the lease."""
+        self.calls += 1
+        return await self.read_uncounted(group)
+
+    async def read_uncounted(self, group):
+        """Read the lease, for commits and not for a takeover."""
         await asyncio.sleep(0.004)
         if self.down:
             raise LeaseError("down", step="read", peer=group)
@@ -105,6 +110,13 @@
         return self.lease
 
 
+class CommitLeases:
+    """The leases as they are read to confirm commits."""
+
+    def __init__(self, *, leases):
+        self.read = leases.read_uncounted
+
+
 class UnreachableLeases:
     """A store that gives no answer."""
 
@@ -207,19 +219,19 @@
 
 
 class PromptLeaseView(LeaseView):
-    """A view that the store confirms all the time, unless its daemon is deaf."""
+    """A view that the store confirms all the time, unless its watch has stopped."""
 
     def __init__(self, *, leases, **options):
         self.leases = leases
-        self.heard_at = float("-inf")
+        self.delivered_until = float("-inf")
         super().__init__(**options)
 
     @property
     def confirmed_at(self):
         """The time up to which all leases have been delivered."""
-        if self not in self.leases.deaf:
-            self.heard_at = self.clock() - 2 * DELIVERY_TIME
-        return self.heard_at
+        if self not in self.leases.stopped:
+            self.delivered_until = self.clock() - 2 * DELIVERY_TIME
+        return self.delivered_until
 
     @confirmed_at.setter
     def confirmed_at(self, at):
@@ -286,6 +298,7 @@
         )
         proxy.lease_view = proxy.context.lease_view = view
         proxy.context.lease_reader.lease_view = view
+        proxy.context.lease_reader.leases = CommitLeases(leases=self.leases)
         # As if the daemon had been running for a long time.
         proxy.daemons.rejoined = True
         proxy.update_daemons(
@@ -329,18 +342,18 @@
         proxy.lease_view.record_revision(self.group.revision)
 
     def stop_watch(self, proxy):
-        """Let a daemon hear of no lease from now on."""
-        self.leases.deaf.add(proxy.lease_view)
+        """Stop a daemon's watch of the leases without notice."""
+        self.leases.stopped.add(proxy.lease_view)
 
     def cut_from_leases(self, proxy):
-        """Let a daemon's watch and reads of the leases get no answer."""
+        """Stop a daemon's watch, and let its reads of the leases get no answer."""
         self.stop_watch(proxy)
         proxy.context.lease_reader.leases = UnreachableLeases()
 
     def restore_leases(self, proxy):
         """End what `cut_from_leases` has begun."""
-        self.leases.deaf.discard(proxy.lease_view)
-        proxy.context.lease_reader.leases = self.leases
+        self.leases.stopped.discard(proxy.lease_view)
+        proxy.context.lease_reader.leases = CommitLeases(leases=self.leases)
         self.catch_up(proxy)
 
     def log(self, part, event, **fields):
--- a/tests/sessions/test_confirm.py
+++ b/tests/sessions/test_confirm.py
@@ -65,6 +65,13 @@
     run(main())
 
 
+def restart_replicas(rig):
+    """Restart all replicas, which closes the connections to them."""
+    for replica in rig.group.replicas():
+        replica.crash()
+        replica.restart()
+
+
 def cut_off(rig, *names):
     """Cut the daemon off from members: open connections fall silent, new ones hang."""
     rig.proxy.context.dialer.dialer.cut.update(names)
@@ -286,9 +293,7 @@
         rig = await make_settled_rig()
         lease = PromotionLease(holder="d9", token=1, revision=rig.group.next_revision())
         rig.proxy.lease_view.record("db", lease)
-        for name in ("u2", "u3"):
-            rig.group[name].crash()
-            rig.group[name].restart()
+        restart_replicas(rig)
         caller = rig.caller("own")
         assert (await caller.send("WRITE a 1")).refusal is Refusal.IN_DOUBT
         rig.proxy.lease_view.record("db", replace(lease, settled=True))
@@ -310,10 +315,10 @@
     run(main())
 
 
-def test_a_daemon_that_hears_nothing_of_the_store_trusts_no_new_connection():
+def test_a_daemon_that_is_cut_from_the_leases_trusts_no_new_connection():
     """Guards against a commit through a replica that has restarted in a takeover.
 
-    A daemon has not heard of the takeover, as it is cut off from the store. The paused
+    A daemon does not know of the takeover, as it is cut off from the store. The paused
     replica restarts, receives again, and the old primary commits through it before the
     takeover's promotion takes effect.
     """
@@ -322,12 +327,12 @@
         rig = Rig(daemons=2)
         await rig.settle()
         await asyncio.sleep(1.0)
-        deaf = rig.proxies[1]
-        rig.cut_from_leases(deaf)
+        cut = rig.proxies[1]
+        rig.cut_from_leases(cut)
         for name in ("u2", "u3"):
             rig.group[name].paused = rig.group.term + 1
         results = []
-        writing = asyncio.create_task(write_for(rig, deaf, 4.0, results))
+        writing = asyncio.create_task(write_for(rig, cut, 4.0, results))
         lease = await rig.leases.acquire("db", "d9", rig.leases.lease)
         await rig.promoter.promote("db", "u3", "d9", lease.token)
         rig.group["u2"].crash()
@@ -340,15 +345,13 @@
     run(main())
 
 
-def test_connections_opened_after_the_last_news_confirm_once_the_store_is_asked():
+def test_connections_newer_than_the_watch_confirm_once_the_lease_is_read():
     """Guards against commits in doubt for the seconds until the next watch ends."""
 
     async def main():
         rig = await make_settled_rig()
         rig.stop_watch(rig.proxy)
-        for name in ("u2", "u3"):
-            rig.group[name].crash()
-            rig.group[name].restart()
+        restart_replicas(rig)
         await asyncio.sleep(1.0)
         assert (await rig.caller("own").send("WRITE a 1")).ok
         assert (await rig.caller("own").send("WRITE a 2")).ok
@@ -359,15 +362,13 @@
 def test_writes_that_no_trusted_replica_could_confirm_are_refused():
     """Guards against writes in doubt while a daemon is cut off from the store.
 
-    All its connections to replicas were reset after it had last heard of the leases.
+    All its connections to replicas were reset after the watch's last answer.
     """
 
     async def main():
         rig = await make_settled_rig()
         rig.cut_from_leases(rig.proxy)
-        for name in ("u2", "u3"):
-            rig.group[name].crash()
-            rig.group[name].restart()
+        restart_replicas(rig)
         await asyncio.sleep(1.0)
         await rig.caller("own").send("WRITE first 1")
         runs = rig.group["u1"].runs
--- a/tests/sessions/test_lease_view.py
+++ b/tests/sessions/test_lease_view.py
@@ -109,10 +109,10 @@
 
 
 def test_a_connection_is_no_proof_before_the_lease_is_known_to_be_settled_after_it():
-    """Guards against trusting a replica that has restarted in a takeover not heard of.
+    """Guards against trusting a replica that restarted in an unknown takeover.
 
-    A daemon that is cut off from the store knows of no takeover, however long ago it
-    last heard of the leases.
+    A daemon that is cut off from the store knows of no takeover, however old its
+    knowledge of the leases is.
     """
     view, clock = make_view()
     view.record_confirmed(clock.now)
